--- /dev/null
+++ b/wisteriaford_bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
