Give every refusal and retry reason a type and a stable code

Callers, counters and the operators' page need one list of reasons that cannot drift apart, so each enum carries its code and an ALL table for counters. A refusal says apart from its reason whether the request may have run, because several reasons can come with either outcome.

--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod hash;
 pub mod id;
+pub mod refusal;
 pub mod settings;
 pub mod time;
