--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod refusal;
 pub mod settings;
 pub mod time;
+pub mod validation;
