--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -5,5 +5,7 @@
 
 pub mod hash;
 pub mod id;
+pub mod index_set;
+pub mod label;
 pub mod settings;
 pub mod time;
