--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod hash;
 pub mod id;
 pub mod refusal;
+pub mod index_set;
+pub mod label;
 pub mod settings;
 pub mod time;
 pub mod validation;
