Add the typed client, the log client and the trainer's bookkeeping

A request goes to the next daemon only where nothing can have run: the connection was refused, or the instance said that it is leaving or not ready and that nothing ran. oxhttp reports connect and read timeouts alike, so a timeout counts as sent. Pulls and reads go on after any failure on the way, since the received set keeps a sample from being counted twice.

An append whose answer was lost is OutcomeUnknown, also on a 5xx or a body that is not understood: only a refused connection, 429 and a typed 4xx prove that nothing was appended.

StepRun holds the trainer's side without input or output; the driver takes the service and the time through traits, so that its tests wait for nothing.

--- a/wisteriaford_client/src/lib.rs
+++ b/wisteriaford_client/src/lib.rs
@@ -1,4 +1,9 @@
-//! Typed client of the wisteriaford caller interface.
+//! Typed client of the wisteriaford caller interface, and of the platform's log.
 
+pub mod client;
 pub mod index_set;
+pub mod log;
 pub mod message;
+pub mod step;
+pub mod trainer;
+pub mod transport;
--- a/wisteriaford_client/src/message.rs
+++ b/wisteriaford_client/src/message.rs
@@ -19,6 +19,20 @@
 /// Longest time that a pull may wait, in milliseconds.
 pub const MAX_WAIT_MS: u64 = 60_000;
 
+/// Stable codes of errors that a client acts on.
+pub mod code {
+    /// The instance has no configuration yet, or does not take requests.
+    pub const NOT_READY: &str = "not_ready";
+    /// The instance is shutting down.
+    pub const LEAVING: &str = "leaving";
+    /// No instance knows the step and the pull brought no spec.
+    pub const STEP_UNKNOWN: &str = "step_unknown";
+    /// The instance does not know the request.
+    pub const REQUEST_UNKNOWN: &str = "request_unknown";
+    /// The service takes no more at this rate.
+    pub const RATE_LIMITED: &str = "rate_limited";
+}
+
 /// Why a request cannot be meant as it was sent.
 #[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
 pub enum MessageError {
--- /dev/null
+++ b/wisteriaford_client/tests/index_set.rs
@@ -0,0 +1,93 @@
+//! Sets of sample indices.
+
+use rstest::rstest;
+use wisteriaford_client::index_set::IndexSet;
+use wisteriaford_client::index_set::IndexSetError;
+use wisteriaford_client::index_set::MAX_SAMPLES;
+
+fn set_of(indices: &[u32]) -> IndexSet {
+    let mut set = IndexSet::new();
+    for &index in indices {
+        set.set(index).unwrap();
+    }
+    set
+}
+
+#[rstest]
+#[case(&[])]
+#[case(&[0])]
+#[case(&[7, 8, 9])]
+#[case(&[0, 1_023, MAX_SAMPLES - 1])]
+fn round_trip_keeps_the_indices(#[case] indices: &[u32]) {
+    let set = set_of(indices);
+
+    let json = serde_json::to_string(&set).unwrap();
+    let read: IndexSet = serde_json::from_str(&json).unwrap();
+
+    assert_eq!(read, set);
+    assert_eq!(read.iter().collect::<Vec<_>>(), indices);
+    assert_eq!(read.len() as usize, indices.len());
+}
+
+#[test]
+fn bit_of_an_index_is_where_the_protocol_says() {
+    let set = set_of(&[0, 9]);
+
+    assert_eq!(set.as_bytes(), [0b1, 0b10]);
+    assert_eq!(set.to_string(), "AQI=");
+}
+
+#[test]
+fn union_holds_both() {
+    let mut set = set_of(&[1, 3]);
+
+    set.union(&set_of(&[3, 200]));
+
+    assert_eq!(set, set_of(&[1, 3, 200]));
+    assert!(!set.contains(2));
+}
+
+#[test]
+fn trailing_zero_bytes_make_no_difference() {
+    let set = IndexSet::from_bytes(&[1, 0, 0]).unwrap();
+
+    assert_eq!(set, set_of(&[0]));
+    assert!(!set.is_empty());
+    assert!(IndexSet::from_bytes(&[0, 0]).unwrap().is_empty());
+}
+
+#[test]
+fn setting_twice_is_told() {
+    let mut set = IndexSet::new();
+
+    assert_eq!(set.set(5), Ok(true));
+    assert_eq!(set.set(5), Ok(false));
+}
+
+#[test]
+fn index_out_of_range_is_refused() {
+    let index = MAX_SAMPLES;
+
+    let error = IndexSet::new().set(index).unwrap_err();
+
+    assert_eq!(error, IndexSetError::IndexOutOfRange { index });
+    assert!(!IndexSet::new().contains(u32::MAX));
+}
+
+#[rstest]
+#[case("\"***\"", "base64")]
+#[case("5", "string")]
+fn bad_text_is_refused(#[case] json: &str, #[case] reason: &str) {
+    let error = serde_json::from_str::<IndexSet>(json).unwrap_err();
+
+    assert!(error.to_string().contains(reason), "{error}");
+}
+
+#[test]
+fn oversized_set_is_refused() {
+    let len_bytes = MAX_SAMPLES as usize / 8 + 1;
+
+    let error = IndexSet::from_bytes(&vec![0; len_bytes]).unwrap_err();
+
+    assert_eq!(error, IndexSetError::TooLong { len_bytes });
+}
