Check configurations for semantic faults

Cause: an operator's file is in force as a whole or not at all, so every fault must be found before it is published, and the same check must decide in every instance's fold.

--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod id;
 pub mod settings;
 pub mod time;
+pub mod validation;
