--- /dev/null
+++ b/wisteriaford_core/src/counters.rs
@@ -0,0 +1,126 @@
+//! Counters of what an instance did.
+
+use indexmap::IndexMap;
+
+use crate::refusal::RefusalReason;
+use crate::refusal::RetryReason;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $variant:ident = $code:literal, $description:literal;)+) => {
+        /// Something that is counted.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum Counter {
+            $($(#[$doc])* $variant,)+
+        }
+
+        impl Counter {
+            /// All counters.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)+];
+
+            /// Returns the stable name.
+            #[must_use]
+            pub const fn code(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $code,)+
+                }
+            }
+
+            /// Returns a sentence for people.
+            #[must_use]
+            pub const fn description(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $description,)+
+                }
+            }
+        }
+    };
+}
+
+counters! {
+    /// Requests taken in.
+    Requests = "wisteriaford_requests", "Requests of callers.";
+    /// Requests answered whole.
+    Answers = "wisteriaford_answers", "Requests answered whole.";
+    /// Attempts sent to endpoints.
+    Attempts = "wisteriaford_attempts", "Attempts sent to endpoints.";
+    /// Streams resumed at another token than the first.
+    Resumes = "wisteriaford_resumes", "Streams resumed at an offset.";
+    /// Tokens received.
+    Tokens = "wisteriaford_tokens", "Tokens received from endpoints.";
+    /// Tokens received twice or thrown away.
+    WastedTokens = "wisteriaford_tokens_wasted", "Tokens that no caller received.";
+    /// Samples delivered.
+    Samples = "wisteriaford_samples", "Samples handed to trainers.";
+    /// Samples thrown away as they were too old.
+    SamplesTooOld = "wisteriaford_samples_too_old", "Samples too old to be handed over.";
+    /// Second attempts of slow samples.
+    SecondAttempts = "wisteriaford_second_attempts", "Second attempts of slow samples.";
+    /// Messages from peers.
+    PeerMessages = "wisteriaford_peer_messages", "Messages received from peers.";
+    /// Records appended to the log.
+    Appends = "wisteriaford_log_appends", "Records appended to the log.";
+    /// Appends that the budget held back.
+    AppendsShed = "wisteriaford_log_appends_shed", "Appends that the budget held back.";
+    /// Orders to endpoints.
+    Orders = "wisteriaford_orders", "Orders given to endpoints.";
+    /// Orders that an endpoint refused for their fencing number.
+    OrdersFenced = "wisteriaford_orders_fenced", "Orders refused for their fencing number.";
+    /// Crashes of endpoints.
+    EndpointCrashes = "wisteriaford_endpoint_crashes", "Crashes of endpoints seen.";
+}
+
+/// Counters of what an instance did.
+#[derive(Clone, Debug)]
+pub struct Counters {
+    refusals: IndexMap<RefusalReason, u64>,
+    retries: IndexMap<RetryReason, u64>,
+    totals: IndexMap<Counter, u64>,
+}
+
+impl Default for Counters {
+    fn default() -> Self {
+        Self {
+            refusals: RefusalReason::ALL
+                .iter()
+                .map(|&reason| (reason, 0))
+                .collect(),
+            retries: RetryReason::ALL.iter().map(|&reason| (reason, 0)).collect(),
+            totals: Counter::ALL.iter().map(|&counter| (counter, 0)).collect(),
+        }
+    }
+}
+
+impl Counters {
+    /// Counts a refusal.
+    pub fn refused(&mut self, reason: RefusalReason) {
+        *self.refusals.entry(reason).or_default() += 1;
+    }
+
+    /// Counts a retry.
+    pub fn retried(&mut self, reason: RetryReason) {
+        *self.retries.entry(reason).or_default() += 1;
+    }
+
+    /// Adds to a counter.
+    pub fn add(&mut self, counter: Counter, count: u64) {
+        *self.totals.entry(counter).or_default() += count;
+    }
+
+    /// Returns a counter.
+    #[must_use]
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.totals.get(&counter).copied().unwrap_or_default()
+    }
+
+    /// Returns the refusals by reason, those never seen included.
+    pub fn refusals(&self) -> impl Iterator<Item = (RefusalReason, u64)> {
+        self.refusals
+            .iter()
+            .map(|(&reason, &count)| (reason, count))
+    }
+
+    /// Returns the retries by reason, those never seen included.
+    pub fn retries(&self) -> impl Iterator<Item = (RetryReason, u64)> {
+        self.retries.iter().map(|(&reason, &count)| (reason, count))
+    }
+}
--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -3,11 +3,18 @@
 //! Nothing here reads a clock, opens a socket, starts a thread or draws a random number of its
 //! own: time and seeds are handed in, and what is to be done comes back as effects.
 
+pub mod counters;
+pub mod effect;
+pub mod event;
+pub mod explain;
 pub mod hash;
 pub mod id;
-pub mod refusal;
 pub mod index_set;
 pub mod label;
+pub mod note;
+pub mod refusal;
+pub mod reply;
 pub mod settings;
 pub mod time;
 pub mod validation;
+pub mod work;
