--- a/wisteriaford_core/src/event.rs
+++ b/wisteriaford_core/src/event.rs
@@ -21,6 +21,7 @@
 use crate::id::RouteId;
 use crate::id::StepNumber;
 use crate::id::Version;
+use crate::refusal::RetryReason;
 
 /// Something that happened, handed to [`crate::instance::Instance::handle`].
 #[derive(Clone, Debug)]
@@ -211,10 +212,35 @@
     Unavailable,
     /// The connection broke after a byte may have left.
     Broken,
+    /// Nothing came for longer than the pool allows.
+    Silent,
     /// The endpoint's answer could not be understood.
     Malformed,
 }
 
+impl AttemptFailure {
+    /// Returns whether it is proven that the endpoint did not run the request.
+    #[must_use]
+    pub const fn proves_not_run(self) -> bool {
+        match self {
+            Self::NotConnected | Self::Overloaded | Self::Unavailable => true,
+            Self::Broken | Self::Silent | Self::Malformed => false,
+        }
+    }
+
+    /// Returns the reason by which a retry after it is counted.
+    #[must_use]
+    pub const fn retry_reason(self) -> RetryReason {
+        match self {
+            Self::NotConnected => RetryReason::ConnectFailed,
+            Self::Overloaded => RetryReason::EndpointOverloaded,
+            Self::Unavailable => RetryReason::EndpointSwapping,
+            Self::Broken | Self::Malformed => RetryReason::ConnectionLost,
+            Self::Silent => RetryReason::Silence,
+        }
+    }
+}
+
 /// State of an endpoint, as it reported it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct EndpointReport {
