--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod effect;
 pub mod event;
 pub mod explain;
+pub mod admission;
 pub mod hash;
 pub mod id;
 pub mod index_set;
