--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod refusal;
 pub mod reply;
 pub mod settings;
+pub mod step;
 pub mod time;
 pub mod validation;
 pub mod work;
--- /dev/null
+++ b/wisteriaford_core/src/step/sample.rs
@@ -0,0 +1,114 @@
+//! Finished samples and the attempts that make them.
+
+use derive_more::Display;
+use derive_more::Error;
+use wisteriaford_proto::step::Sample;
+use wisteriaford_proto::step::VersionSpan;
+
+use crate::id::EndpointId;
+use crate::id::InstanceId;
+use crate::id::StepKey;
+use crate::id::Version;
+use crate::label::Label;
+use crate::label::LabelError;
+use crate::label::Span;
+
+/// One try to make a sample at one endpoint.
+#[derive(Clone, Debug, Display, Eq, Hash, PartialEq)]
+#[display("{key}/{index}/{try_number}")]
+pub struct SampleAttempt {
+    /// Step.
+    pub key: StepKey,
+    /// Sample.
+    pub index: u32,
+    /// Number that no other attempt of this [`Steps`](super::Steps) has.
+    pub try_number: u64,
+}
+
+/// A finished sample.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FinishedSample {
+    /// Index within the step.
+    pub index: u32,
+    /// Group it belongs to.
+    pub group: u32,
+    /// Text.
+    pub text: String,
+    /// Tokens.
+    pub tokens: u32,
+    /// Versions that made it.
+    pub label: Label,
+    /// Score in thousandths; none if no scorer is set.
+    pub score_milli: Option<i64>,
+    /// Instance that served it.
+    pub instance: InstanceId,
+    /// Endpoint that served it.
+    pub endpoint: EndpointId,
+}
+
+impl FinishedSample {
+    /// Returns whether each token has a version.
+    #[must_use]
+    pub fn is_labelled(&self) -> bool {
+        self.tokens > 0 && self.label.tokens() == self.tokens
+    }
+}
+
+/// Why an attempt ended without a sample.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, Hash, PartialEq)]
+pub enum SampleFailure {
+    /// No slot was granted.
+    #[display("no slot was granted")]
+    Refused,
+    /// The endpoint failed or went silent, and the stream could not be resumed.
+    #[display("the stream was lost")]
+    Lost,
+    /// The endpoint ended the stream before the sample was complete.
+    #[display("the stream ended early")]
+    Incomplete,
+}
+
+impl From<&FinishedSample> for Sample {
+    fn from(sample: &FinishedSample) -> Self {
+        let spans = sample.label.spans().iter().map(|span| VersionSpan {
+            from_token: span.from_token,
+            to_token: span.to_token,
+            version: span.version.0,
+        });
+        Self {
+            index: sample.index,
+            group: sample.group,
+            text: sample.text.clone(),
+            tokens: sample.tokens,
+            spans: spans.collect(),
+            score_milli: sample.score_milli,
+            instance: String::from(&sample.instance),
+            endpoint: String::from(&sample.endpoint),
+        }
+    }
+}
+
+impl TryFrom<&Sample> for FinishedSample {
+    type Error = LabelError;
+
+    fn try_from(sample: &Sample) -> Result<Self, LabelError> {
+        let mut label = Label::default();
+        for span in &sample.spans {
+            label.append(Span {
+                from_token: span.from_token,
+                to_token: span.to_token,
+                version: Version(span.version),
+            })?;
+        }
+        Ok(Self {
+            index: sample.index,
+            group: sample.group,
+            text: sample.text.clone(),
+            tokens: sample.tokens,
+            label,
+            score_milli: sample.score_milli,
+            instance: InstanceId::from(sample.instance.as_str()),
+            endpoint: EndpointId::from(sample.endpoint.as_str()),
+        })
+    }
+}
