Serve the platform and the endpoints by small stand-ins

oxhttp's server was weighed first: it holds a streamed body back until 8 KiB have gathered or the body ends, and hides its sockets, so neither a token stream nor a silent or cut connection can be shown with it. A small server over std::net with httparse, one thread a connection, serves all six; the weight store is still read with oxhttp's client.

A crash marker ends the process; in a test's process the stand-in goes down instead and a later "down": false begins a new incarnation.

--- /dev/null
+++ b/wisteriaford_standins/src/connection.rs
@@ -0,0 +1,176 @@
+//! Answering side of one connection, where the faults take hold.
+
+use std::io;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::error::Result;
+use crate::faults::ConnectionMark;
+use crate::faults::Faults;
+use crate::faults::Passage;
+use crate::request::Request;
+
+const PEEK_TIMEOUT: Duration = Duration::from_millis(1);
+
+/// Answering side of one connection.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    faults: Arc<Faults>,
+    mark: ConnectionMark,
+    answer_lost: bool,
+    silent: bool,
+}
+
+impl Connection {
+    pub(crate) fn new(stream: TcpStream, faults: Arc<Faults>) -> Self {
+        let mark = faults.mark();
+        Self {
+            stream,
+            buffer: Vec::new(),
+            faults,
+            mark,
+            answer_lost: false,
+            silent: false,
+        }
+    }
+
+    pub(crate) fn read_request(&mut self) -> Result<Option<Request>> {
+        Request::read(&mut self.stream, &mut self.buffer)
+    }
+
+    pub(crate) fn passage(&self) -> Passage {
+        self.faults.passage(self.mark)
+    }
+
+    pub(crate) fn lose_answer(&mut self) {
+        self.answer_lost = true;
+    }
+
+    pub(crate) const fn is_answer_lost(&self) -> bool {
+        self.answer_lost
+    }
+
+    pub(crate) const fn is_silent(&self) -> bool {
+        self.silent
+    }
+
+    /// Forgets silences that began before now, so that switching faults is always answered.
+    pub(crate) fn renew_mark(&mut self) {
+        self.mark = self.faults.mark();
+    }
+
+    /// Waits for `duration`; returns false at once if the stand-in stops or crashes.
+    pub(crate) fn sleep(&self, duration: Duration) -> bool {
+        self.faults.sleep(self.mark, duration)
+    }
+
+    /// Returns true once nothing that is sent could arrive.
+    pub(crate) fn is_over(&self) -> bool {
+        self.faults.is_over(self.mark) || self.is_closed_by_peer()
+    }
+
+    /// Returns true once the other end has closed the connection.
+    fn is_closed_by_peer(&self) -> bool {
+        if self.stream.set_read_timeout(Some(PEEK_TIMEOUT)).is_err() {
+            return true;
+        }
+        let peeked = self.stream.peek(&mut [0]);
+        let restored = self.stream.set_read_timeout(None);
+        match peeked {
+            Ok(count) => count == 0 || restored.is_err(),
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        }
+    }
+
+    /// Reads and drops bytes until the other end closes the connection.
+    pub(crate) fn hold(&mut self) {
+        let mut bytes = [0; 1024];
+        while self.stream.read(&mut bytes).is_ok_and(|count| count > 0) {}
+    }
+
+    /// Sends a whole answer.
+    pub(crate) fn send_json(&mut self, status: u16, body: &Value) -> io::Result<()> {
+        let bytes = body.to_string().into_bytes();
+        self.send_whole(status, "application/json", &bytes)
+    }
+
+    /// Sends a whole answer whatever the faults are.
+    pub(crate) fn send_json_anyway(&mut self, status: u16, body: &Value) -> io::Result<()> {
+        let bytes = body.to_string().into_bytes();
+        let head = whole_head(status, "application/json", bytes.len());
+        self.stream.write_all(head.as_bytes())?;
+        self.stream.write_all(&bytes)
+    }
+
+    fn send_whole(&mut self, status: u16, content_type: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut answer = whole_head(status, content_type, bytes.len()).into_bytes();
+        answer.extend_from_slice(bytes);
+        self.send(&answer)
+    }
+
+    /// Begins an answer whose chunks follow.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is broken or cut by a fault.
+    pub(crate) fn begin_chunks(&mut self, content_type: &str) -> io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        self.send(head.as_bytes())
+    }
+
+    /// Sends one chunk, which mustn't be empty.
+    pub(crate) fn send_chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
+        chunk.extend_from_slice(bytes);
+        chunk.extend_from_slice(b"\r\n");
+        self.send(&chunk)
+    }
+
+    /// Ends an answer made of chunks.
+    pub(crate) fn end_chunks(&mut self) -> io::Result<()> {
+        self.send(b"0\r\n\r\n")
+    }
+
+    fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        match self.passage() {
+            Passage::Cut => Err(ErrorKind::ConnectionAborted.into()),
+            Passage::Silent => {
+                self.silent = true;
+                Ok(())
+            }
+            Passage::Open if self.answer_lost || self.silent => Ok(()),
+            Passage::Open => self.stream.write_all(bytes),
+        }
+    }
+}
+
+fn whole_head(status: u16, content_type: &str, length_bytes: usize) -> String {
+    let reason = reason(status);
+    format!(
+        "HTTP/1.1 {status} {reason}\r\ncontent-type: {content_type}\r\ncontent-length: {length_bytes}\r\n\r\n"
+    )
+}
+
+const fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        202 => "Accepted",
+        404 => "Not Found",
+        409 => "Conflict",
+        410 => "Gone",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        _ => "Bad Request",
+    }
+}
--- a/wisteriaford_standins/src/lib.rs
+++ b/wisteriaford_standins/src/lib.rs
@@ -1,1 +1,41 @@
-//! Placeholder.
+//! Small stand-ins of the platform and of the endpoints that wisteriaford serves.
+//!
+//! Each serves its part of the published protocols over HTTP/1.1, in a process of its own or on
+//! threads of a test, and has faults that can be switched while it runs.
+
+pub mod engine;
+pub mod error;
+pub mod faults;
+pub mod instance_list;
+pub mod log_service;
+pub mod plain_service;
+pub mod proxy;
+pub mod request;
+pub mod scorer;
+pub mod server;
+pub mod standin;
+pub mod text;
+pub mod weight_store;
+
+mod connection;
+mod lagged;
+mod rate;
+
+pub use engine::EngineSettings;
+pub use faults::FaultChange;
+pub use faults::FaultSettings;
+pub use instance_list::InstanceListSettings;
+pub use log_service::LogSettings;
+pub use plain_service::PlainServiceSettings;
+pub use proxy::Direction;
+pub use proxy::SilentProxy;
+pub use scorer::ScorerSettings;
+pub use server::CrashAction;
+pub use standin::Standin;
+pub use standin::StandinHandle;
+pub use standin::StartError;
+pub use text::expected_score_milli;
+pub use text::expected_text;
+pub use text::expected_tokens;
+pub use text::prefix_hash;
+pub use weight_store::WeightStoreSettings;
--- /dev/null
+++ b/wisteriaford_standins/src/plain_service.rs
@@ -0,0 +1,158 @@
+//! Plain service that counts its runs, some of which may not be repeated.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use clap::Args;
+use clap::value_parser;
+use indexmap::IndexMap;
+use serde_json::json;
+
+use crate::connection::Connection;
+use crate::error::RequestError;
+use crate::error::Result;
+use crate::faults::Faults;
+use crate::request::Request;
+use crate::server::Reply;
+use crate::server::Service;
+
+const COUNTED_LIMIT: usize = 1_000_000;
+
+/// Settings of the plain service.
+#[derive(Args, Clone, Debug)]
+pub struct PlainServiceSettings {
+    /// Time in milliseconds that one call takes [range: 0 to 3600000]
+    #[arg(long, default_value_t = 5, value_parser = value_parser!(u64).range(0..=3_600_000))]
+    pub call_ms: u64,
+    /// Calls run at once; more are refused [range: 1 to 100000]
+    #[arg(long, default_value_t = 64, value_parser = value_parser!(u32).range(1..=100_000))]
+    pub slots: u32,
+}
+
+#[derive(Debug, Default)]
+struct Runs {
+    total: u64,
+    by_key: IndexMap<String, u64>,
+    by_request: IndexMap<String, u64>,
+    running: u32,
+    incarnation: u64,
+}
+
+/// Plain service.
+#[derive(Debug)]
+pub(crate) struct PlainService {
+    settings: PlainServiceSettings,
+    faults: Arc<Faults>,
+    runs: Mutex<Runs>,
+}
+
+impl PlainService {
+    pub(crate) fn new(settings: PlainServiceSettings, faults: Arc<Faults>) -> Self {
+        let runs = Runs {
+            incarnation: new_incarnation(0),
+            ..Runs::default()
+        };
+        Self {
+            settings,
+            faults,
+            runs: Mutex::new(runs),
+        }
+    }
+
+    fn call(&self, request: &Request, connection: &Connection) -> Result<Reply> {
+        let run = self.begin(request)?;
+        let finished = connection.sleep(Duration::from_millis(self.settings.call_ms));
+        let mut runs = self.lock();
+        runs.running = runs.running.saturating_sub(1);
+        drop(runs);
+        if !finished {
+            let cause = std::io::ErrorKind::ConnectionAborted;
+            return Err(RequestError::Connection(cause.into()));
+        }
+        let echo = String::from_utf8_lossy(&request.body);
+        Ok(Reply::ok(json!({"echo": echo, "run": run})))
+    }
+
+    fn begin(&self, request: &Request) -> Result<u64> {
+        if self.faults.settings().leaving {
+            return Err(RequestError::Leaving);
+        }
+        let mut runs = self.lock();
+        if runs.running >= self.settings.slots {
+            return Err(RequestError::Overloaded);
+        }
+        runs.running += 1;
+        runs.total += 1;
+        count(&mut runs.by_key, request, "idempotency-key");
+        count(&mut runs.by_request, request, "wisteriaford-request-id");
+        Ok(runs.total)
+    }
+
+    fn show_runs(&self) -> Reply {
+        let runs = self.lock();
+        Reply::ok(json!({
+            "total": runs.total,
+            "by_key": runs.by_key,
+            "by_request": runs.by_request,
+        }))
+    }
+
+    fn show_state(&self) -> Reply {
+        let runs = self.lock();
+        Reply::ok(json!({
+            "incarnation": runs.incarnation,
+            "version": 0,
+            "loading_version": 0,
+            "running": runs.running,
+            "waiting": 0,
+            "slots": self.settings.slots,
+            "leaving": self.faults.settings().leaving,
+            "age_ms": 0,
+        }))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Runs> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service for PlainService {
+    fn handle(&self, request: &Request, connection: &mut Connection) -> Result<Reply> {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/call") => self.call(request, connection),
+            ("GET", "/runs") => Ok(self.show_runs()),
+            ("GET", "/state") => Ok(self.show_state()),
+            _ => Err(RequestError::NotFound),
+        }
+    }
+
+    fn restart(&self) {
+        let mut runs = self.lock();
+        runs.incarnation = new_incarnation(runs.incarnation);
+    }
+}
+
+fn count(counts: &mut IndexMap<String, u64>, request: &Request, header: &str) {
+    let Some(value) = request.headers.get(header) else {
+        return;
+    };
+    if let Some(count) = counts.get_mut(value) {
+        *count += 1;
+    } else if counts.len() < COUNTED_LIMIT {
+        counts.insert(value.clone(), 1);
+    }
+}
+
+/// Returns an incarnation above `previous`, also after the process was started again.
+pub(crate) fn new_incarnation(previous: u64) -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let micros = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
+    micros.max(previous.saturating_add(1))
+}
--- /dev/null
+++ b/wisteriaford_standins/src/standin.rs
@@ -0,0 +1,168 @@
+//! Starting and stopping a stand-in.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use clap::Args;
+use clap::Command;
+use clap::FromArgMatches;
+use clap::Subcommand;
+use derive_more::Display;
+use derive_more::Error;
+
+use crate::engine::Engine;
+use crate::engine::EngineSettings;
+use crate::faults::FaultChange;
+use crate::faults::FaultSettings;
+use crate::faults::Faults;
+use crate::instance_list::InstanceList;
+use crate::instance_list::InstanceListSettings;
+use crate::log_service::LogService;
+use crate::log_service::LogSettings;
+use crate::plain_service::PlainService;
+use crate::plain_service::PlainServiceSettings;
+use crate::scorer::Scorer;
+use crate::scorer::ScorerSettings;
+use crate::server::CrashAction;
+use crate::server::Server;
+use crate::server::Service;
+use crate::weight_store::WeightStore;
+use crate::weight_store::WeightStoreSettings;
+
+/// Failure to start a stand-in.
+#[derive(Debug, Display, Error)]
+#[display("cannot listen on {listen}: {source}")]
+pub struct StartError {
+    listen: SocketAddr,
+    source: io::Error,
+}
+
+/// Kind of a stand-in with its settings.
+#[derive(Clone, Debug, Subcommand)]
+pub enum Standin {
+    /// Append-only log
+    Log(LogSettings),
+    /// Store of weights
+    WeightStore(WeightStoreSettings),
+    /// Platform's list of instances
+    InstanceList(InstanceListSettings),
+    /// Model engine
+    Engine(EngineSettings),
+    /// Plain service
+    PlainService(PlainServiceSettings),
+    /// Scorer of samples
+    Scorer(ScorerSettings),
+}
+
+impl Standin {
+    /// Starts the stand-in on a free port of 127.0.0.1; a crash puts it down.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't listen.
+    pub fn start(self) -> Result<StandinHandle, StartError> {
+        self.start_at(any_local_port(), CrashAction::GoDown)
+    }
+
+    /// Starts the stand-in at an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't listen.
+    pub fn start_at(
+        self,
+        listen: SocketAddr,
+        crash_action: CrashAction,
+    ) -> Result<StandinHandle, StartError> {
+        let faults = Arc::new(Faults::default());
+        let service = self.into_service(&faults);
+        let server = Server::start(listen, service, Arc::clone(&faults), crash_action)
+            .map_err(|source| StartError { listen, source })?;
+        Ok(StandinHandle { server, faults })
+    }
+
+    fn into_service(self, faults: &Arc<Faults>) -> Arc<dyn Service> {
+        match self {
+            Self::Log(settings) => Arc::new(LogService::new(settings)),
+            Self::WeightStore(settings) => Arc::new(WeightStore::new(settings)),
+            Self::InstanceList(settings) => Arc::new(InstanceList::new(&settings)),
+            Self::Engine(settings) => Arc::new(Engine::new(settings, Arc::clone(faults))),
+            Self::PlainService(settings) => {
+                Arc::new(PlainService::new(settings, Arc::clone(faults)))
+            }
+            Self::Scorer(settings) => Arc::new(Scorer::new(settings)),
+        }
+    }
+}
+
+/// Running stand-in; it stops when dropped.
+pub struct StandinHandle {
+    server: Server,
+    faults: Arc<Faults>,
+}
+
+impl StandinHandle {
+    /// Returns the address on which the stand-in listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets a part of the faults, as `POST /faults` does.
+    pub fn change_faults(&self, change: FaultChange) {
+        self.server.change_faults(change);
+    }
+
+    /// Returns the faults as they are set now.
+    #[must_use]
+    pub fn faults(&self) -> FaultSettings {
+        self.faults.settings()
+    }
+
+    /// Crashes the stand-in, as a crash marker does; `down: false` restarts it.
+    pub fn crash(&self) {
+        self.server.crash();
+    }
+
+    /// Stops the stand-in: open connections are cut and its threads end.
+    pub fn stop(self) {
+        drop(self);
+    }
+
+    /// Waits for the end of the stand-in, which only the end of the process brings.
+    pub fn wait(mut self) {
+        self.server.wait();
+    }
+}
+
+fn any_local_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Returns the settings that no flag changes.
+fn settings_without_flags<T: Args + FromArgMatches>() -> T {
+    let command = T::augment_args(Command::new("settings").no_binary_name(true));
+    let matches = command.get_matches_from(std::iter::empty::<&str>());
+    T::from_arg_matches(&matches).unwrap_or_else(|error| error.exit())
+}
+
+macro_rules! default_from_flags {
+    ($($settings:ty),+ $(,)?) => {
+        $(impl Default for $settings {
+            fn default() -> Self {
+                settings_without_flags()
+            }
+        })+
+    };
+}
+
+default_from_flags!(
+    EngineSettings,
+    InstanceListSettings,
+    LogSettings,
+    PlainServiceSettings,
+    ScorerSettings,
+    WeightStoreSettings,
+);
