Read configuration files with every fault and its place

A file is parsed with recovery and then read section by section, entry by entry and field by field, so that no fault hides another. Semantic faults that only follow from a value that could not be read are left out: a fault that the operator did not make would hide the ones that he did.

--- /dev/null
+++ b/wisteriaford/tests/configuration_file.rs
@@ -0,0 +1,191 @@
+//! Faults of configuration files, each with its place.
+
+use std::path::Path;
+
+use rstest::rstest;
+use wisteriaford::configuration_file::CheckedFile;
+use wisteriaford::configuration_file::FileError;
+use wisteriaford::place::Place;
+
+const EXAMPLE: &str = include_str!("../../extra/example.toml");
+
+fn faults_of(text: &str) -> Vec<String> {
+    let checked = CheckedFile::from_text(text);
+    checked.faults.iter().map(ToString::to_string).collect()
+}
+
+/// Returns the example with one text in it replaced.
+fn example_with(from: &str, to: &str) -> String {
+    assert!(EXAMPLE.contains(from), "the example has no {from:?}");
+    EXAMPLE.replacen(from, to, 1)
+}
+
+#[test]
+fn example_has_no_fault() {
+    let checked = CheckedFile::from_text(EXAMPLE);
+
+    assert_eq!(checked.faults, []);
+    assert_eq!(checked.configuration.pools.len(), 2);
+    assert_eq!(checked.configuration.endpoints.len(), 4);
+    assert_eq!(checked.configuration.callers.len(), 3);
+    assert_eq!(checked.configuration.routes.len(), 2);
+}
+
+#[test]
+fn reading_field_by_field_gives_what_reading_at_once_gives() {
+    let at_once = toml::from_str(EXAMPLE).unwrap();
+
+    let checked = CheckedFile::from_text(EXAMPLE);
+
+    assert_eq!(checked.configuration, at_once);
+}
+
+#[test]
+fn every_fault_is_found_with_its_place() {
+    let text = r#"
+[[pools]]
+name = "restoration"
+modle = "restorer"
+queue_limit = "many"
+interactive_cap_percent = 180
+quarantine_ms = 600000
+
+[[endpoints]]
+name = "engine-1"
+pool = "restoratio"
+kind = "plain_servce"
+address = "not an address"
+availability_zone = "a"
+region = "r"
+slots = -4
+
+[[endpoints]]
+name = "engine-1"
+pool = "restoration"
+kind = "plain_service"
+address = "127.0.0.1:7101"
+availability_zone = "a"
+region = "r"
+slots = 4
+
+[[caller]]
+name = "portal"
+"#;
+
+    let faults = faults_of(text);
+
+    let starts = [
+        "4:1: pools[0]: there is no field `modle`; did you mean `model`?",
+        "5:15: pools[0] queue_limit: invalid type: string \"many\", expected u32",
+        "6:27: pools[0] \"restoration\" interactive_cap_percent: 180 is out of range",
+        "12:8: endpoints[0] kind: unknown name \"plain_servce\"",
+        "13:11: endpoints[0] \"engine-1\" address: \"not an address\" is no IP number",
+        "16:9: endpoints[0] slots: invalid value: integer `-4`, expected u32",
+        "19:8: endpoints[1] \"engine-1\" name: \"engine-1\" is the name of entry 0 too",
+        "27:3: there is no section `caller`; did you mean `callers`?",
+    ];
+    assert_eq!(faults.len(), starts.len(), "{faults:#?}");
+    for (fault, start) in faults.iter().zip(starts) {
+        assert!(fault.starts_with(start), "{fault}\n{start}");
+    }
+}
+
+#[test]
+fn several_syntax_faults_are_found_beside_the_others() {
+    let text = "[[pools]]\nname = \nqueue_limit = 1x\nslots = 4\n\n[[callers]\nname = \"a\"\n";
+
+    let faults = faults_of(text);
+
+    let lines: Vec<_> = faults
+        .iter()
+        .map(|f| f.split(':').next().unwrap())
+        .collect();
+    assert!(lines.contains(&"2"), "{faults:#?}");
+    assert!(lines.contains(&"3"), "{faults:#?}");
+    assert!(lines.contains(&"4"), "{faults:#?}");
+    assert!(lines.contains(&"6"), "{faults:#?}");
+}
+
+#[rstest]
+#[case("pool = \"badges\"\nkind", "pool = \"badge\"\nkind", "badge")]
+#[case(
+    "log_outage = \"first_attempt_only\"",
+    "log_outage = \"refuses\"",
+    "refuses"
+)]
+#[case("rate_limit_per_s = 500", "rate_limit_per_s = 0", "0 is out of range")]
+#[case("timeout_ms = 2000", "timeout_ms = 2.5", "floating point")]
+#[case("idempotent = true", "idempotent = \"yes\"", "boolean")]
+#[case("slots = 8", "slots = 4294967296", "4294967296")]
+fn single_fault_is_found_where_it_is(#[case] from: &str, #[case] to: &str, #[case] says: &str) {
+    let text = example_with(from, to);
+    let line = text[..text.find(to).unwrap()].matches('\n').count() + 1;
+
+    let faults = faults_of(&text);
+
+    assert_eq!(faults.len(), 1, "{faults:#?}");
+    assert!(faults[0].starts_with(&format!("{line}:")), "{faults:#?}");
+    assert!(faults[0].contains(says), "{faults:#?}");
+}
+
+#[test]
+fn field_left_out_is_placed_at_its_entry() {
+    let text = example_with("slots = 8\n", "");
+    let line = text[..text.find("[[endpoints]]").unwrap()]
+        .matches('\n')
+        .count()
+        + 1;
+
+    let faults = faults_of(&text);
+
+    assert_eq!(faults.len(), 1, "{faults:#?}");
+    assert!(
+        faults[0].starts_with(&format!("{line}:1: endpoints[0]")),
+        "{faults:#?}"
+    );
+}
+
+#[test]
+fn repeated_field_is_found() {
+    let text = example_with("slots = 8\n", "slots = 8\nslots = 9\n");
+
+    let faults = faults_of(&text);
+
+    assert_eq!(faults.len(), 1, "{faults:#?}");
+    assert!(faults[0].contains("duplicate key"), "{faults:#?}");
+}
+
+#[rstest]
+#[case("[pools]\nname = \"a\"\n", "1:1: `pools` must be written as [[pools]]")]
+#[case("pools = 3\n", "1:9: `pools` must be written as [[pools]]")]
+#[case("pools = [3]\n", "1:10: `pools` must be written as [[pools]]")]
+fn sections_of_another_shape_are_refused(#[case] text: &str, #[case] starts: &str) {
+    let faults = faults_of(text);
+
+    assert_eq!(faults.len(), 1, "{faults:#?}");
+    assert!(faults[0].starts_with(starts), "{faults:#?}");
+}
+
+#[test]
+fn empty_file_has_a_fault() {
+    assert_eq!(faults_of(""), ["1:1: pools: must have at least one entry"]);
+}
+
+#[rstest]
+#[case(0, 1, 1)]
+#[case(3, 2, 1)]
+#[case(5, 2, 2)]
+#[case(99, 2, 4)]
+fn columns_count_characters(#[case] offset: usize, #[case] line: usize, #[case] column: usize) {
+    let text = "ab\néàx";
+
+    assert_eq!(Place::of_byte(text, offset), Place { line, column });
+}
+
+#[test]
+fn missing_file_is_named() {
+    let error = CheckedFile::open(Path::new("no/such/file.toml")).unwrap_err();
+
+    assert!(matches!(error, FileError::Unreadable { .. }));
+    assert!(error.to_string().contains("no/such/file.toml"));
+}
