Fold the log into the configuration in force

Cause: instances keep nothing, and the log forgets, so an instance that starts on the end of the log alone must not accept a publication on a wrong base or number it differently.

Ways weighed: taking the highest copy found as the base (an old copy appended late then makes a fresh instance accept what all others reject); carrying publication ids in copies (grows without bound); copies that name the offset through which they were folded, used as a basis only if every later record is at hand. The last: the state after an offset is then a function of the records alone. Memory of ids serves lookup only, never a decision, or instances with different memories would disagree.

--- a/wisteriaford_core/src/id.rs
+++ b/wisteriaford_core/src/id.rs
@@ -128,6 +128,10 @@
     /// Request of a caller, unique over the fleet.
     RequestId
 }
+text_id! {
+    /// Publication of a configuration, unique over the log.
+    PublicationId
+}
 text_id! {
     /// One try of a request at one endpoint, unique over the fleet.
     AttemptId
--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock, opens a socket, starts a thread or draws a random number of its
 //! own: time and seeds are handed in, and what is to be done comes back as effects.
 
+pub mod configuration;
 pub mod hash;
 pub mod id;
 pub mod settings;
--- a/wisteriaford_core/tests/validation.rs
+++ b/wisteriaford_core/tests/validation.rs
@@ -2,66 +2,13 @@
 
 use rstest::rstest;
 use wisteriaford_core::validation::validate;
-use wisteriaford_proto::settings::Caller;
 use wisteriaford_proto::settings::Configuration;
-use wisteriaford_proto::settings::Endpoint;
-use wisteriaford_proto::settings::EndpointKind;
 use wisteriaford_proto::settings::LogOutagePolicy;
-use wisteriaford_proto::settings::Pool;
-use wisteriaford_proto::settings::Route;
 
-fn pool(name: &str, model: &str) -> Pool {
-    Pool {
-        name: name.to_owned(),
-        model: model.to_owned(),
-        staleness_bound_versions: 2,
-        capacity_floor_percent: 50,
-        concurrent_loads: 4,
-        interactive_cap_percent: 80,
-        queue_limit: 100,
-        silence_timeout_ms: 2_000,
-        quarantine_ms: 60_000,
-        scorer_address: String::new(),
-    }
-}
-
-fn endpoint(name: &str, pool: &str, kind: EndpointKind, port: u16) -> Endpoint {
-    Endpoint {
-        name: name.to_owned(),
-        pool: pool.to_owned(),
-        kind: kind.into(),
-        address: format!("10.0.0.1:{port}"),
-        availability_zone: "ariana".to_owned(),
-        region: "tunis-nord".to_owned(),
-        slots: 8,
-        honours_fencing: true,
-        leaving: false,
-    }
-}
+use self::fixtures::configuration;
 
-fn configuration() -> Configuration {
-    Configuration {
-        pools: vec![pool("restoration", "fixer"), pool("badges", "")],
-        endpoints: vec![
-            endpoint("engine-1", "restoration", EndpointKind::ModelEngine, 1),
-            endpoint("engine-2", "restoration", EndpointKind::ModelEngine, 2),
-            endpoint("badge-1", "badges", EndpointKind::PlainService, 3),
-        ],
-        callers: vec![Caller {
-            name: "portal".to_owned(),
-            share_weight: 1,
-            in_flight_limit: 10,
-            rate_limit_per_s: 10,
-            ..Caller::default()
-        }],
-        routes: vec![Route {
-            name: "scan".to_owned(),
-            pool: "badges".to_owned(),
-            timeout_ms: 1_000,
-            ..Route::default()
-        }],
-    }
-}
+#[path = "fixtures/configuration.rs"]
+mod fixtures;
 
 #[test]
 fn sound_configuration_has_no_fault() {
