--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod event;
 pub mod explain;
 pub mod admission;
+pub mod configuration;
 pub mod hash;
 pub mod id;
 pub mod index_set;
