--- a/wisteriaford_core/src/effect.rs
+++ b/wisteriaford_core/src/effect.rs
@@ -7,7 +7,6 @@
 
 use crate::event::AppendId;
 use crate::event::LogStream;
-use crate::event::ScoreId;
 use crate::event::Ticket;
 use crate::id::AttemptId;
 use crate::id::EndpointId;
@@ -18,6 +17,8 @@
 use crate::id::Version;
 use crate::note::Note;
 use crate::reply::Reply;
+use crate::step::ScoreItem;
+use crate::step::ScoreTicket;
 use crate::work::Work;
 
 /// Something to be done by the driver of an instance.
@@ -77,11 +78,11 @@
     /// Have samples scored.
     Score {
         /// Names the answer.
-        score: ScoreId,
+        ticket: ScoreTicket,
         /// Address of the scorer.
         address: CompactString,
         /// Samples.
-        samples: Vec<Unscored>,
+        samples: Vec<ScoreItem>,
     },
     /// Write down something worth knowing, as one line.
     Note(Note),
@@ -107,14 +108,3 @@
     /// Token to begin at, after a stream that broke.
     pub from_token: u32,
 }
-
-/// Sample to be scored.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Unscored {
-    /// Id that its score comes back with.
-    pub id: CompactString,
-    /// Prompt.
-    pub prompt: std::sync::Arc<str>,
-    /// Text.
-    pub text: String,
-}
--- a/wisteriaford_core/src/event.rs
+++ b/wisteriaford_core/src/event.rs
@@ -21,7 +21,12 @@
 use crate::id::RouteId;
 use crate::id::StepNumber;
 use crate::id::Version;
+use crate::membership::ListedInstance;
 use crate::refusal::RetryReason;
+use crate::step::Score;
+use crate::step::ScoreFailure;
+use crate::step::ScoreTicket;
+use crate::step::StepSpec;
 
 /// Something that happened, handed to [`crate::instance::Instance::handle`].
 #[derive(Clone, Debug)]
@@ -49,7 +54,7 @@
     /// The weight store named the newest version of a model.
     Announced(ModelId, Version),
     /// A scorer answered.
-    Scored(ScoreId, Result<Vec<Score>, ScoreFailure>),
+    Scored(ScoreTicket, Result<Vec<Score>, ScoreFailure>),
     /// The instance is to shut down gracefully.
     Shutdown,
 }
@@ -62,10 +67,6 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct AppendId(pub u64);
 
-/// Names a batch of samples at a scorer within an instance.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct ScoreId(pub u64);
-
 /// Stream of the log.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum LogStream {
@@ -146,7 +147,7 @@
         /// Longest time to wait for samples.
         wait: Duration,
         /// What the step consists of, when the trainer sends it along.
-        spec: Option<StepSpec>,
+        spec: Option<Arc<StepSpec>>,
     },
     /// Ask for the decisions about a request.
     Explain(RequestId),
@@ -158,17 +159,6 @@
     Configuration,
 }
 
-/// What a step consists of.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct StepSpec {
-    /// Samples of each group.
-    pub group_size: u32,
-    /// Longest answer of a sample.
-    pub max_tokens: u32,
-    /// Prompts, one for each group.
-    pub prompts: Vec<Arc<str>>,
-}
-
 /// Something from an endpoint for an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AttemptEvent {
@@ -315,39 +305,6 @@
     RateLimited,
 }
 
-/// Instance as the platform lists it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ListedInstance {
-    /// Unique id.
-    pub id: CompactString,
-    /// Address for peers.
-    pub address: CompactString,
-    /// Availability zone.
-    pub availability_zone: AvailabilityZone,
-    /// Region.
-    pub region: Region,
-    /// Whether the platform says that it is leaving.
-    pub leaving: bool,
-}
-
-/// Score of a sample.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Score {
-    /// Id that the sample was sent with.
-    pub id: CompactString,
-    /// Score in thousandths.
-    pub score_milli: i64,
-}
-
-/// Why a scorer gave no scores.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ScoreFailure {
-    /// It was not reached or did not answer in time.
-    Unavailable,
-    /// Its answer could not be understood.
-    Malformed,
-}
-
 /// Identity of an instance, from its settings.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Identity {
--- a/wisteriaford_core/src/explain.rs
+++ b/wisteriaford_core/src/explain.rs
@@ -13,6 +13,7 @@
 use crate::id::Version;
 use crate::refusal::Refusal;
 use crate::refusal::RetryReason;
+use crate::routing::ChoiceReason;
 use crate::time::Timestamp;
 
 /// Requests that are remembered.
@@ -27,14 +28,14 @@
     #[display("accepted")]
     Accepted,
     /// Slots were asked for.
-    #[display("asked {steward} for a slot of {endpoint}: {why}")]
+    #[display("asked {steward} for a slot of {endpoint}: {reason}")]
     Asked {
         /// Endpoint.
         endpoint: EndpointId,
         /// Steward of the endpoint.
         steward: InstanceId,
         /// Why this endpoint was chosen.
-        why: &'static str,
+        reason: ChoiceReason,
     },
     /// A slot was refused.
     #[display("slot of {endpoint} refused: {refusal}")]
--- /dev/null
+++ b/wisteriaford_core/src/instance/steps.rs
@@ -0,0 +1,211 @@
+//! Training steps: what the step logic wants done.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::format_compact;
+
+use super::Instance;
+use crate::counters::Counter;
+use crate::effect::Effect;
+use crate::event::Ticket;
+use crate::id::InstanceId;
+use crate::id::PoolId;
+use crate::id::RequestId;
+use crate::id::StepKey;
+use crate::placement::Placement;
+use crate::reply::Reply;
+use crate::request::Active;
+use crate::request::Origin;
+use crate::request::Partial;
+use crate::request::Phase;
+use crate::step::FinishedSample;
+use crate::step::PoolFacts;
+use crate::step::SampleAttempt;
+use crate::step::SampleFailure;
+use crate::step::ScoreFailure;
+use crate::step::ScoreItem;
+use crate::step::ScoreTicket;
+use crate::step::Start;
+use crate::step::StepOutput;
+use crate::step::StepView;
+use crate::step::Steps;
+use crate::time::Timestamp;
+use crate::work::Generation;
+use crate::work::Request;
+use crate::work::Work;
+
+/// Time that a sample has at most; its step goes on without an attempt that takes longer.
+const SAMPLE_TIMEOUT: Duration = Duration::from_secs(480);
+
+/// The fleet as the step logic sees it.
+struct View<'a> {
+    me: &'a InstanceId,
+    placement: &'a dyn Placement,
+    pools: indexmap::IndexMap<PoolId, PoolFacts>,
+}
+
+impl StepView for View<'_> {
+    fn me(&self) -> InstanceId {
+        self.me.clone()
+    }
+
+    fn owner_of(&self, key: &StepKey) -> Option<InstanceId> {
+        self.placement.owner_of(key)
+    }
+
+    fn keeper_of(&self, key: &StepKey) -> Option<InstanceId> {
+        self.placement.keeper_of(key)
+    }
+
+    fn pool(&self, pool: &PoolId) -> Option<PoolFacts> {
+        self.pools.get(pool).copied()
+    }
+}
+
+impl Instance {
+    /// Lets the step logic do something and carries out what it wants done.
+    pub(super) fn with_steps(
+        &mut self,
+        now: Timestamp,
+        act: impl FnOnce(&mut Steps, &dyn StepView, &mut Vec<StepOutput>),
+    ) {
+        let mut outputs = Vec::new();
+        let pools = self.pool_facts();
+        let view = View {
+            me: &self.identity.id,
+            placement: &self.placement,
+            pools,
+        };
+        act(&mut self.steps, &view, &mut outputs);
+        for output in outputs {
+            self.step_output(now, output);
+        }
+    }
+
+    fn pool_facts(&self) -> indexmap::IndexMap<PoolId, PoolFacts> {
+        let pools = self.settings.pools.values();
+        let facts = pools.filter(|pool| pool.model.is_some()).map(|pool| {
+            let facts = PoolFacts {
+                staleness_bound_versions: pool.staleness_bound_versions,
+                has_scorer: pool.scorer_address.is_some(),
+                free_slots: self.free_slots(pool),
+            };
+            (pool.id.clone(), facts)
+        });
+        facts.collect()
+    }
+
+    fn step_output(&mut self, now: Timestamp, output: StepOutput) {
+        match output {
+            StepOutput::Start(start) => self.start_sample(now, start),
+            StepOutput::Cancel(attempt) => self.cancel_sample(now, &attempt),
+            StepOutput::Score {
+                ticket,
+                pool,
+                samples,
+            } => self.score(now, ticket, &pool, samples),
+            StepOutput::Answer { ticket, answer } => {
+                let samples = answer.samples.len() as u64;
+                self.counters.add(Counter::Samples, samples);
+                self.reply(Ticket(ticket.0), Reply::Pulled(answer));
+            }
+            StepOutput::Refuse { ticket, reason } => self.refuse_pull(ticket, reason),
+            StepOutput::Send { to, message } => self.send_step(now, &to, message),
+        }
+    }
+
+    fn start_sample(&mut self, now: Timestamp, start: Start) {
+        let id = sample_request(&self.identity.id, &start.attempt);
+        let work = Work::Generate(Generation {
+            prompt: Arc::from(start.prompt),
+            seed: start.seed,
+            max_tokens: start.max_tokens,
+        });
+        let fingerprint = work.fingerprint();
+        let request = Request {
+            id,
+            caller: start.attempt.key.trainer.clone(),
+            pool: start.pool,
+            work,
+            deadline: now + SAMPLE_TIMEOUT,
+        };
+        let priority = wisteriaford_proto::settings::Priority::Batch;
+        self.begin(
+            now,
+            Active {
+                request,
+                origin: Origin::Sample(start.attempt),
+                priority,
+                rank: start.rank,
+                oldest_version: start.oldest_version,
+                idempotent: true,
+                fingerprint,
+                accepted_at: now,
+                phase: Phase::Asking(Vec::new()),
+                partial: Partial::default(),
+                avoid: start.avoid,
+                failures: 0,
+                may_have_run: false,
+                alone: false,
+            },
+        );
+    }
+
+    fn cancel_sample(&mut self, now: Timestamp, attempt: &SampleAttempt) {
+        let request = sample_request(&self.identity.id, attempt);
+        self.cancel(now, &request);
+    }
+
+    fn score(
+        &mut self,
+        now: Timestamp,
+        ticket: ScoreTicket,
+        pool: &PoolId,
+        samples: Vec<ScoreItem>,
+    ) {
+        let pool = self.settings.pools.get(pool);
+        let Some(address) = pool.and_then(|pool| pool.scorer_address.clone()) else {
+            let failed = Err(ScoreFailure);
+            self.with_steps(now, |steps, view, out| {
+                steps.scored(now, ticket, failed, view, out);
+            });
+            return;
+        };
+        self.effects.push(Effect::Score {
+            ticket,
+            address,
+            samples,
+        });
+    }
+
+    /// Tells the step logic which endpoint runs an attempt, and how far it is.
+    pub(super) fn sample_progress(
+        &mut self,
+        request: &RequestId,
+        attempt: &SampleAttempt,
+        tokens: u32,
+    ) {
+        let running = self.requests.get(request).and_then(Active::running);
+        if let Some(running) = running {
+            let endpoint = &running.endpoint;
+            self.steps.sample_progress(attempt, endpoint, tokens);
+        }
+    }
+
+    /// Tells the step logic how an attempt ended.
+    pub(super) fn sample_finished(
+        &mut self,
+        now: Timestamp,
+        attempt: &SampleAttempt,
+        result: Result<FinishedSample, SampleFailure>,
+    ) {
+        self.with_steps(now, |steps, view, out| {
+            steps.sample_finished(now, attempt, result, view, out);
+        });
+    }
+}
+
+fn sample_request(me: &InstanceId, attempt: &SampleAttempt) -> RequestId {
+    RequestId::from(format_compact!("{attempt}@{me}").as_str())
+}
--- a/wisteriaford_core/src/refusal.rs
+++ b/wisteriaford_core/src/refusal.rs
@@ -85,6 +85,8 @@
         SampleTooOld = "sample_too_old",
         /// No instance knows the step.
         StepUnknown = "step_unknown",
+        /// A later pull of the step was seen.
+        Superseded = "superseded",
     }
 }
 
--- a/wisteriaford_core/src/reply.rs
+++ b/wisteriaford_core/src/reply.rs
@@ -5,7 +5,6 @@
 use compact_str::CompactString;
 use wisteriaford_proto::record::Publication;
 use wisteriaford_proto::settings::Priority;
-use wisteriaford_proto::step::Sample;
 use wisteriaford_proto::step::VersionSpan;
 
 use crate::explain::Decision;
@@ -13,11 +12,11 @@
 use crate::id::EndpointId;
 use crate::id::InstanceId;
 use crate::id::PoolId;
-use crate::id::PullNumber;
 use crate::id::RequestId;
 use crate::id::Revision;
 use crate::id::Version;
 use crate::refusal::Refusal;
+use crate::step::PullAnswer;
 use crate::time::Timestamp;
 
 /// Final answer to a caller.
@@ -28,7 +27,7 @@
     /// Whole answer of a plain service.
     Called(Called),
     /// Finished samples of a step.
-    Pulled(Pulled),
+    Pulled(PullAnswer),
     /// Decisions about a request; none if the instance does not know it.
     Explained(Option<Vec<(Timestamp, Decision)>>),
     /// Shares of the callers.
@@ -71,17 +70,6 @@
     pub endpoint: EndpointId,
 }
 
-/// Finished samples of a step.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Pulled {
-    /// Pull that is answered.
-    pub pull: PullNumber,
-    /// Samples outside the trainer's received set.
-    pub samples: Vec<Sample>,
-    /// Whether they make the step whole.
-    pub complete: bool,
-}
-
 /// What a caller was entitled to and what it received, at this instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallerShare {
--- a/wisteriaford_core/src/work.rs
+++ b/wisteriaford_core/src/work.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::hash::hash_parts;
 use crate::id::CallerId;
@@ -80,15 +81,25 @@
         }
     }
 
-    /// Hashes the beginning of a prompt, for prefix affinity; 0 for calls.
+    /// Hashes the beginning of a prompt, for prefix affinity; none for calls.
     #[must_use]
-    pub fn prefix_hash(&self) -> u64 {
+    pub fn prefix_hash(&self) -> Option<u64> {
         match self {
             Self::Generate(generation) => {
                 let bytes = generation.prompt.as_bytes();
-                hash_parts(&[&bytes[..bytes.len().min(PREFIX_LEN_BYTES)]])
+                let prefix = &bytes[..bytes.len().min(PREFIX_LEN_BYTES)];
+                Some(xxh3_64(prefix))
             }
-            Self::Call(_) => 0,
+            Self::Call(_) => None,
+        }
+    }
+
+    /// Returns the key that makes a repeat recognisable, if the caller gave one.
+    #[must_use]
+    pub fn key(&self) -> Option<&CompactString> {
+        match self {
+            Self::Generate(_) => None,
+            Self::Call(call) => call.key.as_ref(),
         }
     }
 
--- /dev/null
+++ b/wisteriafordd/src/clock.rs
@@ -0,0 +1,32 @@
+//! Time for the core: monotonic, counted from the Unix epoch.
+
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use wisteriaford_core::time::Timestamp;
+
+/// Clock that never goes back, whatever happens to the time of day.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    started_at: Instant,
+    started_unix_us: u64,
+}
+
+impl Clock {
+    /// Starts a clock from the time of day.
+    pub(crate) fn start() -> Self {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self {
+            started_at: Instant::now(),
+            started_unix_us: u64::try_from(since_epoch.as_micros()).unwrap_or_default(),
+        }
+    }
+
+    /// Returns the time now.
+    pub(crate) fn now(&self) -> Timestamp {
+        Timestamp(self.started_unix_us) + self.started_at.elapsed()
+    }
+}
--- /dev/null
+++ b/wisteriafordd/src/endpoint.rs
@@ -0,0 +1,294 @@
+//! Requests, polls and orders to endpoints.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use crossbeam::channel::Sender;
+use derive_more::Display;
+use oxhttp::model::Method;
+use oxhttp::model::header::CONTENT_TYPE;
+use serde::Deserialize;
+use serde::Serialize;
+use wisteriaford_core::effect::Attempt;
+use wisteriaford_core::event::AttemptEvent;
+use wisteriaford_core::event::AttemptFailure;
+use wisteriaford_core::event::EndpointReport;
+use wisteriaford_core::event::Event;
+use wisteriaford_core::event::OrderAnswer;
+use wisteriaford_core::event::PollFailure;
+use wisteriaford_core::id::AttemptId;
+use wisteriaford_core::id::Fence;
+use wisteriaford_core::id::Incarnation;
+use wisteriaford_core::id::Version;
+use wisteriaford_core::work::Call;
+use wisteriaford_core::work::Generation;
+use wisteriaford_core::work::Work;
+use wisteriaford_proto::settings::Priority;
+
+use crate::http;
+use crate::http::HttpError;
+use crate::runtime::Input;
+
+/// Status codes by which an endpoint says that it did not run a request.
+const NOT_RUN_STATUSES: [u16; 3] = [409, 410, 503];
+/// Stable codes that must stand in the body of such an answer.
+const NOT_RUN_CODES: [&str; 3] = ["overloaded", "swapping", "leaving"];
+
+#[derive(Serialize)]
+struct GenerateBody<'a> {
+    request_id: &'a str,
+    prompt: &'a str,
+    seed: u64,
+    max_tokens: u32,
+    priority: &'static str,
+    from_token: u32,
+}
+
+/// One line of a stream of tokens.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum StreamLine {
+    Tokens {
+        from_token: u32,
+        tokens: u32,
+        text: String,
+        version: u64,
+    },
+    Done {
+        done: bool,
+        total_tokens: u32,
+    },
+}
+
+#[derive(Deserialize)]
+struct StateBody {
+    #[serde(default)]
+    incarnation: u64,
+    #[serde(default)]
+    version: u64,
+    #[serde(default)]
+    loading_version: u64,
+    #[serde(default)]
+    running: u32,
+    #[serde(default)]
+    waiting: u32,
+    #[serde(default)]
+    leaving: bool,
+    #[serde(default)]
+    age_ms: u64,
+}
+
+#[derive(Serialize)]
+struct OrderBody<'a> {
+    fence: u64,
+    holder: &'a str,
+    load_version: u64,
+}
+
+#[derive(Serialize)]
+struct CancelBody<'a> {
+    request_id: &'a str,
+}
+
+#[derive(Deserialize)]
+struct Accepted {}
+
+/// Why a stream ended before it was whole.
+#[derive(Debug, Display)]
+enum StreamError {
+    #[display("{_0}")]
+    Http(HttpError),
+    #[display("stream broke")]
+    Broken,
+    #[display("malformed line")]
+    Malformed,
+}
+
+impl From<HttpError> for StreamError {
+    fn from(error: HttpError) -> Self {
+        Self::Http(error)
+    }
+}
+
+/// Runs an attempt to its end and reports what comes back.
+pub(crate) fn run_attempt(attempt: &Attempt, timeout: Duration, inputs: &Sender<Input>) {
+    let report = |event| {
+        let event = Event::Attempt(attempt.id.clone(), event);
+        inputs.send(Input::Event(event)).is_ok()
+    };
+    let result = match &attempt.work {
+        Work::Generate(generation) => generate(attempt, generation, timeout, &report),
+        Work::Call(call) => answer_call(attempt, call, timeout, &report),
+    };
+    if let Err(error) = result {
+        log::debug!("attempt {} at {}: {error}", attempt.id, attempt.endpoint);
+        report(AttemptEvent::Failed(failure_of(&error)));
+    }
+}
+
+fn generate(
+    attempt: &Attempt,
+    generation: &Generation,
+    timeout: Duration,
+    report: &dyn Fn(AttemptEvent) -> bool,
+) -> Result<(), StreamError> {
+    let body = GenerateBody {
+        request_id: attempt.id.as_str(),
+        prompt: &generation.prompt,
+        seed: generation.seed,
+        max_tokens: generation.max_tokens,
+        priority: priority_name(attempt.priority),
+        from_token: attempt.from_token,
+    };
+    let body = serde_json::to_vec(&body).map_err(|_| StreamError::Malformed)?;
+    let url = format!("http://{}/generate", attempt.address);
+    let headers = [(CONTENT_TYPE.as_str(), "application/json")];
+    let response = http::send(timeout, Method::POST, &url, &headers, body)?;
+    if !response.status().is_success() {
+        http::read_whole(response)?;
+        return Err(StreamError::Malformed);
+    }
+    read_stream(BufReader::new(response.into_body()), report)
+}
+
+fn read_stream(
+    reader: impl BufRead,
+    report: &dyn Fn(AttemptEvent) -> bool,
+) -> Result<(), StreamError> {
+    for line in reader.lines() {
+        let line = line.map_err(|_| StreamError::Broken)?;
+        let line = serde_json::from_str(&line).map_err(|_| StreamError::Malformed)?;
+        let (event, last) = match line {
+            StreamLine::Tokens {
+                from_token,
+                tokens,
+                text,
+                version,
+            } => {
+                let version = Version(version);
+                let event = AttemptEvent::Tokens {
+                    from_token,
+                    tokens,
+                    text,
+                    version,
+                };
+                (event, false)
+            }
+            StreamLine::Done { done, total_tokens } => {
+                (AttemptEvent::Finished { total_tokens }, done)
+            }
+        };
+        if !report(event) || last {
+            return Ok(());
+        }
+    }
+    Err(StreamError::Broken)
+}
+
+fn answer_call(
+    attempt: &Attempt,
+    call: &Call,
+    timeout: Duration,
+    report: &dyn Fn(AttemptEvent) -> bool,
+) -> Result<(), StreamError> {
+    let url = format!("http://{}/call", attempt.address);
+    let mut headers = vec![
+        (CONTENT_TYPE.as_str(), call.content_type.as_str()),
+        ("wisteriaford-request-id", attempt.request.as_str()),
+    ];
+    if let Some(key) = &call.key {
+        headers.push(("idempotency-key", key));
+    }
+    let response = http::send(timeout, Method::POST, &url, &headers, call.body.to_vec())?;
+    let status = response.status().as_u16();
+    let content_type = response
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream");
+    let content_type = CompactString::from(content_type);
+    let body = http::read_body(response)?;
+    let code = http::error_code(&body);
+    if NOT_RUN_STATUSES.contains(&status) && NOT_RUN_CODES.contains(&code.as_str()) {
+        return Err(HttpError::Status { status, code }.into());
+    }
+    report(AttemptEvent::Answered {
+        status,
+        content_type,
+        body,
+    });
+    Ok(())
+}
+
+fn failure_of(error: &StreamError) -> AttemptFailure {
+    match error {
+        StreamError::Http(HttpError::NotConnected) => AttemptFailure::NotConnected,
+        StreamError::Http(HttpError::Status { code, .. }) => match code.as_str() {
+            "overloaded" => AttemptFailure::Overloaded,
+            "swapping" | "leaving" => AttemptFailure::Unavailable,
+            _ => AttemptFailure::Malformed,
+        },
+        StreamError::Http(HttpError::Lost(_)) | StreamError::Broken => AttemptFailure::Broken,
+        StreamError::Http(HttpError::Malformed) | StreamError::Malformed => {
+            AttemptFailure::Malformed
+        }
+    }
+}
+
+/// Tells an endpoint to stop an attempt.
+pub(crate) fn cancel(address: &str, attempt: &AttemptId, timeout: Duration) {
+    let url = format!("http://{address}/cancel");
+    let request_id = attempt.as_str();
+    let body = CancelBody { request_id };
+    // An endpoint that does not hear it goes on to the end of the stream, which harms nobody.
+    let _ = http::call::<Accepted>(timeout, Method::POST, &url, Some(&body));
+}
+
+/// Asks an endpoint for its state.
+pub(crate) fn poll(address: &str, timeout: Duration) -> Result<EndpointReport, PollFailure> {
+    let url = format!("http://{address}/state");
+    match http::get::<StateBody>(timeout, &url) {
+        Ok(state) => Ok(EndpointReport {
+            incarnation: Incarnation(state.incarnation),
+            version: Version(state.version),
+            loading_version: Version(state.loading_version),
+            running: state.running,
+            waiting: state.waiting,
+            leaving: state.leaving,
+            age: Duration::from_millis(state.age_ms),
+        }),
+        Err(HttpError::NotConnected) => Err(PollFailure::Refused),
+        Err(HttpError::Lost(_)) => Err(PollFailure::TimedOut),
+        Err(HttpError::Status { .. } | HttpError::Malformed) => Err(PollFailure::Malformed),
+    }
+}
+
+/// Orders an endpoint to reach a version.
+pub(crate) fn order(
+    address: &str,
+    holder: &str,
+    fence: Fence,
+    version: Version,
+    timeout: Duration,
+) -> OrderAnswer {
+    let url = format!("http://{address}/orders");
+    let body = OrderBody {
+        fence: fence.0,
+        holder,
+        load_version: version.0,
+    };
+    match http::call::<Accepted>(timeout, Method::POST, &url, Some(&body)) {
+        Ok(_) => OrderAnswer::Accepted,
+        Err(HttpError::Status { code, .. }) if code == "fenced" => OrderAnswer::Fenced,
+        Err(_) => OrderAnswer::Unknown,
+    }
+}
+
+fn priority_name(priority: Priority) -> &'static str {
+    match priority {
+        Priority::Interactive => "interactive",
+        Priority::Batch => "batch",
+    }
+}
--- /dev/null
+++ b/wisteriafordd/src/server.rs
@@ -0,0 +1,173 @@
+//! HTTP interface for callers, health checks and metrics.
+
+mod answer;
+mod failure;
+mod question;
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use oxhttp::Server;
+use oxhttp::model::Body;
+use oxhttp::model::Method;
+use oxhttp::model::Request;
+use oxhttp::model::Response;
+use oxhttp::model::StatusCode;
+use wisteriaford_core::event::CallerRequest;
+use wisteriaford_core::event::Identity;
+use wisteriaford_core::reply::Reply;
+
+use crate::metrics::Metrics;
+use crate::runtime::Input;
+use crate::runtime::Shared;
+use crate::server::failure::Failure;
+
+/// Longest silence of a caller's connection.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(120);
+/// Longest time that a handler waits for the core: the longest timeout and a reserve.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(3_700);
+const METRICS_CONTENT_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Settings of the interface.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerSettings {
+    /// Name of this instance.
+    pub(crate) instance: String,
+    /// Connections served at once.
+    pub(crate) max_connections: usize,
+    /// Longest body, in bytes.
+    pub(crate) max_body_bytes: u64,
+    /// Identity that the status names.
+    pub(crate) identity: Identity,
+}
+
+/// Handlers of the interface.
+pub(crate) struct Service {
+    settings: ServerSettings,
+    shared: Arc<Shared>,
+    metrics: Metrics,
+    inputs: Sender<Input>,
+}
+
+impl Service {
+    /// Returns handlers that hand requests to a loop.
+    pub(crate) fn new(
+        settings: ServerSettings,
+        shared: Arc<Shared>,
+        metrics: Metrics,
+        inputs: Sender<Input>,
+    ) -> Self {
+        Self {
+            settings,
+            shared,
+            metrics,
+            inputs,
+        }
+    }
+
+    /// Serves callers at an address until the process exits.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened at.
+    pub(crate) fn listen(self, address: SocketAddr) -> std::io::Result<()> {
+        let max_connections = self.settings.max_connections;
+        let server = Server::new(move |request| self.respond(request))
+            .bind(address)
+            .with_max_concurrent_connections(max_connections)
+            .with_global_timeout(CONNECTION_TIMEOUT);
+        // The threads of the server go on without the handle.
+        server.spawn()?;
+        Ok(())
+    }
+
+    fn respond(&self, request: &mut Request<Body>) -> Response<Body> {
+        self.route(request)
+            .unwrap_or_else(|failure| failure.response())
+    }
+
+    fn route(&self, request: &mut Request<Body>) -> Result<Response<Body>, Failure> {
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (request.method(), parts.as_slice()) {
+            (&Method::GET, ["healthz"]) => Ok(answer::text("ok")),
+            (&Method::GET, ["readyz"]) => self.readiness(),
+            (&Method::GET, ["metrics"]) => Ok(self.metrics_text()),
+            (&Method::GET, ["v1", "status"]) => self.ask(CallerRequest::Status),
+            (&Method::GET, ["v1", "shares"]) => self.ask(CallerRequest::Shares),
+            (&Method::GET, ["v1", "configuration"]) => self.ask(CallerRequest::Configuration),
+            (&Method::GET, ["v1", "explain", id @ ..]) if !id.is_empty() => {
+                self.ask(CallerRequest::Explain(question::request_id(&id.join("/"))?))
+            }
+            (&Method::POST, ["v1", "generate"]) => {
+                let body = self.read_json_body(request)?;
+                self.ask(question::generate(&body)?)
+            }
+            (&Method::POST, ["v1", "call", route]) => {
+                let body = self.read_body(request)?;
+                self.ask(question::call(route, request.headers(), body)?)
+            }
+            (&Method::POST, ["v1", "steps", step, "pulls"]) => {
+                let body = self.read_json_body(request)?;
+                self.ask(question::pull(step, &body)?)
+            }
+            (_, parts) if is_known(parts) => Err(Failure::MethodNotAllowed),
+            _ => Err(Failure::NotFound),
+        }
+    }
+
+    fn readiness(&self) -> Result<Response<Body>, Failure> {
+        match self.shared.snapshot.load().ready {
+            Ok(()) => Ok(answer::text("ready")),
+            Err(reason) => Err(Failure::NotReady(reason)),
+        }
+    }
+
+    fn metrics_text(&self) -> Response<Body> {
+        answer::with_type(StatusCode::OK, METRICS_CONTENT_TYPE, self.metrics.text())
+    }
+
+    fn ask(&self, request: CallerRequest) -> Result<Response<Body>, Failure> {
+        let (sender, receiver) = crossbeam::channel::bounded(1);
+        let input = Input::Caller(request.clone(), sender);
+        self.inputs.send(input).map_err(|_| Failure::ShutDown)?;
+        let reply: Reply = receiver
+            .recv_timeout(REPLY_TIMEOUT)
+            .map_err(|_| Failure::ShutDown)?;
+        answer::of(reply, &request, &self.settings.identity)
+    }
+
+    fn read_json_body(&self, request: &mut Request<Body>) -> Result<Vec<u8>, Failure> {
+        question::require_json(request.headers())?;
+        self.read_body(request)
+    }
+
+    fn read_body(&self, request: &mut Request<Body>) -> Result<Vec<u8>, Failure> {
+        let limit_bytes = self.settings.max_body_bytes;
+        let body = request.body_mut();
+        if body.len().is_some_and(|len_bytes| len_bytes > limit_bytes) {
+            return Err(Failure::TooLarge { limit_bytes });
+        }
+        let mut bytes = Vec::new();
+        body.take(limit_bytes + 1)
+            .read_to_end(&mut bytes)
+            .map_err(|_| Failure::TruncatedBody)?;
+        if bytes.len() as u64 > limit_bytes {
+            return Err(Failure::TooLarge { limit_bytes });
+        }
+        Ok(bytes)
+    }
+}
+
+fn is_known(parts: &[&str]) -> bool {
+    matches!(
+        parts,
+        ["healthz" | "readyz" | "metrics"]
+            | ["v1", "status" | "shares" | "configuration" | "generate"]
+            | ["v1", "explain" | "call", _]
+            | ["v1", "steps", _, "pulls"]
+    )
+}
--- /dev/null
+++ b/wisteriafordd/src/server/answer.rs
@@ -0,0 +1,227 @@
+//! Answers to callers, written from the replies of the core.
+
+use oxhttp::model::Body;
+use oxhttp::model::Response;
+use oxhttp::model::StatusCode;
+use oxhttp::model::header::CONTENT_TYPE;
+use serde::Serialize;
+use wisteriaford_client::message::CallerShare;
+use wisteriaford_client::message::ConfigurationAnswer;
+use wisteriaford_client::message::DecisionAnswer;
+use wisteriaford_client::message::EndpointStatus;
+use wisteriaford_client::message::ExplainAnswer;
+use wisteriaford_client::message::GenerateAnswer;
+use wisteriaford_client::message::LogState;
+use wisteriaford_client::message::MemberStatus;
+use wisteriaford_client::message::PullAnswer;
+use wisteriaford_client::message::SampleAnswer;
+use wisteriaford_client::message::SharesAnswer;
+use wisteriaford_client::message::StatusAnswer;
+use wisteriaford_client::message::VersionSpan;
+use wisteriaford_core::event::CallerRequest;
+use wisteriaford_core::event::Identity;
+use wisteriaford_core::explain::Decision;
+use wisteriaford_core::id::RequestId;
+use wisteriaford_core::refusal::Refusal;
+use wisteriaford_core::refusal::RefusalReason;
+use wisteriaford_core::reply;
+use wisteriaford_core::reply::Called;
+use wisteriaford_core::reply::Generated;
+use wisteriaford_core::reply::Reply;
+use wisteriaford_core::reply::Status;
+use wisteriaford_core::step;
+use wisteriaford_core::step::FinishedSample;
+use wisteriaford_core::time::Timestamp;
+
+use crate::server::failure::Failure;
+
+/// Returns an answer of plain text.
+pub(crate) fn text(text: &str) -> Response<Body> {
+    with_type(StatusCode::OK, "text/plain", text.as_bytes().to_vec())
+}
+
+/// Returns an answer with a content type.
+pub(crate) fn with_type(status: StatusCode, content_type: &str, body: Vec<u8>) -> Response<Body> {
+    Response::builder()
+        .status(status)
+        .header(CONTENT_TYPE, content_type)
+        .body(Body::from(body))
+        .unwrap_or_else(|_| Response::new(Body::empty()))
+}
+
+/// Writes a reply as an answer.
+///
+/// # Errors
+///
+/// Fails if the reply is a refusal.
+pub(crate) fn of(
+    reply: Reply,
+    request: &CallerRequest,
+    identity: &Identity,
+) -> Result<Response<Body>, Failure> {
+    match reply {
+        Reply::Generated(generated) => Ok(json(&generate_answer(generated, identity))),
+        Reply::Called(called) => Ok(called_response(called, identity)),
+        Reply::Pulled(pulled) => Ok(json(&pull_answer(pulled))),
+        Reply::Explained(decisions) => explained(decisions, request, identity),
+        Reply::Shares(shares) => Ok(json(&shares_answer(&shares, identity))),
+        Reply::Status(status) => Ok(json(&status_answer(*status, identity))),
+        Reply::Configuration(Some((revision, publication))) => Ok(json(&ConfigurationAnswer {
+            revision: revision.0,
+            publication_id: publication.id,
+            configuration: publication.configuration.unwrap_or_default(),
+        })),
+        Reply::Configuration(None) => Err(Failure::Refused(
+            None,
+            Refusal::not_run(RefusalReason::NoConfiguration),
+        )),
+        Reply::Refused(request, refusal) => Err(Failure::Refused(request, refusal)),
+    }
+}
+
+fn json(answer: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(answer).unwrap_or_default();
+    with_type(StatusCode::OK, "application/json", bytes)
+}
+
+fn generate_answer(generated: Generated, identity: &Identity) -> GenerateAnswer {
+    GenerateAnswer {
+        request_id: generated.request.to_string(),
+        text: generated.text,
+        tokens: generated.tokens,
+        spans: generated.spans.iter().map(span_of).collect(),
+        endpoint: generated.endpoint.to_string(),
+        instance: identity.id.to_string(),
+    }
+}
+
+fn called_response(called: Called, identity: &Identity) -> Response<Body> {
+    Response::builder()
+        .status(called.status)
+        .header(CONTENT_TYPE, called.content_type.as_str())
+        .header("wisteriaford-request-id", called.request.as_str())
+        .header("wisteriaford-endpoint", called.endpoint.as_str())
+        .header("wisteriaford-instance", identity.id.as_str())
+        .body(Body::from(called.body))
+        .unwrap_or_else(|_| Response::new(Body::empty()))
+}
+
+fn pull_answer(pulled: step::PullAnswer) -> PullAnswer {
+    PullAnswer {
+        pull: pulled.number.0,
+        samples: pulled.samples.into_iter().map(sample_answer).collect(),
+        complete: pulled.complete,
+    }
+}
+
+fn sample_answer(sample: FinishedSample) -> SampleAnswer {
+    let spans = sample.label.spans().iter().map(|span| VersionSpan {
+        from_token: span.from_token,
+        to_token: span.to_token,
+        version: span.version.0,
+    });
+    SampleAnswer {
+        index: sample.index,
+        group: sample.group,
+        text: sample.text,
+        tokens: sample.tokens,
+        spans: spans.collect(),
+        score_milli: sample.score_milli,
+        instance: sample.instance.to_string(),
+        endpoint: sample.endpoint.to_string(),
+    }
+}
+
+fn span_of(span: &wisteriaford_proto::step::VersionSpan) -> VersionSpan {
+    VersionSpan {
+        from_token: span.from_token,
+        to_token: span.to_token,
+        version: span.version,
+    }
+}
+
+fn explained(
+    decisions: Option<Vec<(Timestamp, Decision)>>,
+    request: &CallerRequest,
+    identity: &Identity,
+) -> Result<Response<Body>, Failure> {
+    let Some(decisions) = decisions else {
+        return Err(Failure::RequestUnknown);
+    };
+    let request_id = match request {
+        CallerRequest::Explain(request) => RequestId::to_string(request),
+        _ => String::new(),
+    };
+    let decisions = decisions.iter().map(|(at, decision)| DecisionAnswer {
+        at_ms: at.as_millis(),
+        kind: decision.kind().to_owned(),
+        detail: decision.to_string(),
+    });
+    Ok(json(&ExplainAnswer {
+        request_id,
+        instance: identity.id.to_string(),
+        decisions: decisions.collect(),
+    }))
+}
+
+fn shares_answer(shares: &[reply::CallerShare], identity: &Identity) -> SharesAnswer {
+    let window_ms = shares
+        .first()
+        .map_or(0, |share| share.window.as_millis() as u64);
+    let callers = shares.iter().map(|share| CallerShare {
+        caller: share.caller.to_string(),
+        priority: share.priority.as_str_name().to_ascii_lowercase(),
+        entitled_tokens: share.entitled_tokens,
+        received_tokens: share.received_tokens,
+        shortfall_reason: share.shortfall.map(str::to_owned),
+    });
+    SharesAnswer {
+        instance: identity.id.to_string(),
+        window_ms,
+        callers: callers.collect(),
+    }
+}
+
+fn status_answer(status: Status, identity: &Identity) -> StatusAnswer {
+    StatusAnswer {
+        instance: identity.id.to_string(),
+        availability_zone: identity.availability_zone.to_string(),
+        region: identity.region.to_string(),
+        incarnation: identity.incarnation.0,
+        revision: status.revision.0,
+        ready: status.ready,
+        leaving: status.leaving,
+        log: match status.log_up {
+            Some(true) => LogState::Up,
+            Some(false) => LogState::Down,
+            None => LogState::Unknown,
+        },
+        members: status.members.into_iter().map(member_status).collect(),
+        endpoints: status.endpoints.into_iter().map(endpoint_status).collect(),
+    }
+}
+
+fn member_status(member: reply::MemberStatus) -> MemberStatus {
+    MemberStatus {
+        id: member.id.to_string(),
+        address: member.address.to_string(),
+        availability_zone: member.availability_zone.to_string(),
+        state: member.state.to_owned(),
+        incarnation: member.incarnation,
+    }
+}
+
+fn endpoint_status(endpoint: reply::EndpointStatus) -> EndpointStatus {
+    EndpointStatus {
+        endpoint: endpoint.endpoint.to_string(),
+        pool: endpoint.pool.to_string(),
+        version: endpoint.version.0,
+        in_flight: u64::from(endpoint.in_flight),
+        queued: u64::from(endpoint.queued),
+        availability: endpoint.availability.to_owned(),
+        steward: endpoint
+            .steward
+            .map(|steward| steward.to_string())
+            .unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/wisteriafordd/src/server/failure.rs
@@ -0,0 +1,180 @@
+//! Typed failures of the caller interface.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use oxhttp::model::Body;
+use oxhttp::model::Response;
+use oxhttp::model::StatusCode;
+use oxhttp::model::header::CONTENT_TYPE;
+use oxhttp::model::header::RETRY_AFTER;
+use wisteriaford_client::message::ErrorAnswer;
+use wisteriaford_client::message::ErrorBody;
+use wisteriaford_client::message::MessageError;
+use wisteriaford_client::message::Outcome;
+use wisteriaford_core::id::IdError;
+use wisteriaford_core::id::RequestId;
+use wisteriaford_core::instance::NotReady;
+use wisteriaford_core::refusal;
+use wisteriaford_core::refusal::Refusal;
+use wisteriaford_core::refusal::RefusalReason;
+
+/// Why a caller gets no answer.
+#[derive(Debug, Display)]
+pub(crate) enum Failure {
+    /// The path leads nowhere.
+    #[display("there is nothing at this path")]
+    NotFound,
+    /// The path takes another method.
+    #[display("this path takes another method")]
+    MethodNotAllowed,
+    /// The body is no JSON, though it must be.
+    #[display("the content type must be application/json")]
+    WrongContentType,
+    /// The body is longer than allowed.
+    #[display("a body has at most {limit_bytes} bytes")]
+    TooLarge {
+        /// Longest body.
+        limit_bytes: u64,
+    },
+    /// The body ended early.
+    #[display("the body ended before it was whole")]
+    TruncatedBody,
+    /// The body is malformed.
+    #[display("{_0}")]
+    Json(serde_json::Error),
+    /// A field of the body cannot be meant.
+    #[display("{_0}")]
+    Message(MessageError),
+    /// A header is missing or malformed.
+    #[display("header `{name}` is missing or malformed")]
+    Header {
+        /// Name of the header.
+        name: &'static str,
+    },
+    /// A part of the path is malformed.
+    #[display("{_0}")]
+    Path(IdError),
+    /// The step's number is none.
+    #[display("a step is a whole number")]
+    StepNumber,
+    /// The instance takes no requests.
+    #[display("not ready: {}", _0.code())]
+    NotReady(NotReady),
+    /// The instance has shut down.
+    #[display("the instance has shut down")]
+    ShutDown,
+    /// The instance does not know the request.
+    #[display("this instance does not know the request")]
+    RequestUnknown,
+    /// The core refused the request.
+    #[display("{_1}")]
+    Refused(Option<RequestId>, Refusal),
+}
+
+impl Failure {
+    /// Returns the failure as an answer with a typed JSON body.
+    pub(crate) fn response(&self) -> Response<Body> {
+        let body = ErrorAnswer {
+            error: ErrorBody {
+                code: self.code().to_owned(),
+                message: self.to_string(),
+                outcome: self.outcome(),
+                retry_after_ms: self.retry_after().map(|time| time.as_millis() as u64),
+                request_id: self.request().map(ToString::to_string),
+            },
+        };
+        let mut response = Response::builder()
+            .status(self.status())
+            .header(CONTENT_TYPE, "application/json");
+        if let Some(retry_after) = self.retry_after() {
+            let whole_s = retry_after.as_millis().div_ceil(1_000);
+            response = response.header(RETRY_AFTER, whole_s.to_string());
+        }
+        let bytes = serde_json::to_vec(&body).unwrap_or_default();
+        response
+            .body(Body::from(bytes))
+            .unwrap_or_else(|_| Response::new(Body::empty()))
+    }
+
+    fn code(&self) -> &'static str {
+        match self {
+            Self::NotFound => "not_found",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::WrongContentType => "wrong_content_type",
+            Self::TooLarge { .. } => RefusalReason::TooLarge.code(),
+            Self::TruncatedBody => "truncated_body",
+            Self::Json(_) => "malformed_json",
+            Self::Message(_) | Self::Header { .. } | Self::Path(_) | Self::StepNumber => {
+                RefusalReason::BadRequest.code()
+            }
+            Self::NotReady(reason) => reason.code(),
+            Self::ShutDown => RefusalReason::ShuttingDown.code(),
+            Self::RequestUnknown => "request_unknown",
+            Self::Refused(_, refusal) => refusal.reason.code(),
+        }
+    }
+
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::NotFound | Self::RequestUnknown => StatusCode::NOT_FOUND,
+            Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
+            Self::WrongContentType => StatusCode::UNSUPPORTED_MEDIA_TYPE,
+            Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TruncatedBody
+            | Self::Json(_)
+            | Self::Message(_)
+            | Self::Header { .. }
+            | Self::Path(_)
+            | Self::StepNumber => StatusCode::BAD_REQUEST,
+            Self::NotReady(_) | Self::ShutDown => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(_, refusal) => status_of(refusal.reason),
+        }
+    }
+
+    fn outcome(&self) -> Option<Outcome> {
+        match self {
+            Self::Refused(_, refusal) => Some(match refusal.outcome {
+                refusal::Outcome::NotRun => Outcome::NotRun,
+                refusal::Outcome::OutcomeUnknown => Outcome::OutcomeUnknown,
+            }),
+            Self::ShutDown => Some(Outcome::OutcomeUnknown),
+            Self::RequestUnknown => None,
+            _ => Some(Outcome::NotRun),
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Refused(_, refusal) => refusal.retry_after,
+            _ => None,
+        }
+    }
+
+    fn request(&self) -> Option<&RequestId> {
+        match self {
+            Self::Refused(request, _) => request.as_ref(),
+            _ => None,
+        }
+    }
+}
+
+fn status_of(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::UnknownCaller => StatusCode::FORBIDDEN,
+        RefusalReason::UnknownPool | RefusalReason::UnknownRoute => StatusCode::NOT_FOUND,
+        RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
+        RefusalReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalReason::CallerRateLimit
+        | RefusalReason::CallerInFlightLimit
+        | RefusalReason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::KeyInUse
+        | RefusalReason::KeyExpired
+        | RefusalReason::KeyAlreadyRun
+        | RefusalReason::StepUnknown => StatusCode::CONFLICT,
+        RefusalReason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalReason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        RefusalReason::EndpointFailed | RefusalReason::StreamLost => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/wisteriafordd/src/worker.rs
@@ -0,0 +1,231 @@
+//! Threads that call endpoints and the platform.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use prost::Message;
+use wisteriaford_core::effect::Attempt;
+use wisteriaford_core::event::AppendId;
+use wisteriaford_core::event::AttemptEvent;
+use wisteriaford_core::event::AttemptFailure;
+use wisteriaford_core::event::Event;
+use wisteriaford_core::event::LogStream;
+use wisteriaford_core::id::AttemptId;
+use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::Fence;
+use wisteriaford_core::id::ModelId;
+use wisteriaford_core::id::Offset;
+use wisteriaford_core::id::Version;
+use wisteriaford_core::step::ScoreItem;
+use wisteriaford_core::step::ScoreTicket;
+use wisteriaford_proto::record::Record;
+
+use crate::endpoint;
+use crate::platform;
+use crate::runtime::Input;
+
+/// Threads that call endpoints; a silent endpoint holds one for the silence timeout.
+const ENDPOINT_THREADS: usize = 8;
+/// Threads that call the platform and scorers.
+const PLATFORM_THREADS: usize = 6;
+/// Pause after a failed read of the log.
+const LOG_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Where the platform's services are, and how long to wait for them.
+#[derive(Clone, Debug)]
+pub(crate) struct Addresses {
+    /// Name of this instance, as holder of orders.
+    pub(crate) holder: String,
+    /// Log.
+    pub(crate) log: String,
+    /// Weight store.
+    pub(crate) weight_store: String,
+    /// List of instances, if there is one.
+    pub(crate) instance_list: Option<String>,
+    /// Longest silence before a call is given up.
+    pub(crate) silence_timeout: Duration,
+}
+
+/// One call to an endpoint or to the platform.
+pub(crate) enum Job {
+    /// Tell an endpoint to stop an attempt.
+    Cancel {
+        attempt: AttemptId,
+        address: CompactString,
+    },
+    /// Ask an endpoint for its state.
+    Poll {
+        endpoint: EndpointId,
+        address: CompactString,
+    },
+    /// Order an endpoint to reach a version.
+    Order {
+        endpoint: EndpointId,
+        address: CompactString,
+        fence: Fence,
+        version: Version,
+    },
+    /// Append a record to the log.
+    Append {
+        append: AppendId,
+        stream: LogStream,
+        record: Box<Record>,
+    },
+    /// Ask for the newest version of a model.
+    PollModel(ModelId),
+    /// Ask for the list of instances.
+    PollInstances,
+    /// Have samples scored.
+    Score {
+        ticket: ScoreTicket,
+        address: CompactString,
+        samples: Vec<ScoreItem>,
+    },
+}
+
+/// Threads that call endpoints and the platform; they end when this is dropped.
+pub(crate) struct Workers {
+    endpoint_jobs: Sender<Job>,
+    platform_jobs: Sender<Job>,
+    addresses: Arc<Addresses>,
+    inputs: Sender<Input>,
+}
+
+impl Workers {
+    /// Starts the threads.
+    pub(crate) fn start(addresses: Addresses, inputs: &Sender<Input>) -> Self {
+        let addresses = Arc::new(addresses);
+        let pool = |threads| start_pool(threads, &addresses, inputs);
+        let workers = Self {
+            endpoint_jobs: pool(ENDPOINT_THREADS),
+            platform_jobs: pool(PLATFORM_THREADS),
+            addresses: Arc::clone(&addresses),
+            inputs: inputs.clone(),
+        };
+        for stream in LogStream::ALL {
+            let addresses = Arc::clone(&addresses);
+            let inputs = inputs.clone();
+            thread::spawn(move || follow_log(&addresses, stream, &inputs));
+        }
+        workers
+    }
+
+    /// Runs an attempt on a thread of its own.
+    pub(crate) fn open(&self, attempt: Attempt) {
+        let timeout = self.addresses.silence_timeout;
+        let inputs = self.inputs.clone();
+        let id = attempt.id.clone();
+        let spawned = thread::Builder::new()
+            .name(format!("attempt {id}"))
+            .spawn(move || endpoint::run_attempt(&attempt, timeout, &inputs));
+        if spawned.is_err() {
+            let failed = AttemptEvent::Failed(AttemptFailure::NotConnected);
+            let event = Event::Attempt(id, failed);
+            let _ = self.inputs.send(Input::Event(event));
+        }
+    }
+
+    /// Hands a call to the next free thread.
+    pub(crate) fn submit(&self, job: Job) {
+        let jobs = match job {
+            Job::Cancel { .. } | Job::Poll { .. } | Job::Order { .. } => &self.endpoint_jobs,
+            Job::Append { .. } | Job::PollModel(_) | Job::PollInstances | Job::Score { .. } => {
+                &self.platform_jobs
+            }
+        };
+        // The threads live as long as this sender.
+        let _ = jobs.send(job);
+    }
+}
+
+fn start_pool(threads: usize, addresses: &Arc<Addresses>, inputs: &Sender<Input>) -> Sender<Job> {
+    let (sender, receiver) = crossbeam::channel::unbounded();
+    for _ in 0..threads {
+        let addresses = Arc::clone(addresses);
+        let receiver: Receiver<Job> = receiver.clone();
+        let inputs = inputs.clone();
+        thread::spawn(move || {
+            for job in receiver {
+                let event = run(&addresses, job);
+                if let Some(event) = event
+                    && inputs.send(Input::Event(event)).is_err()
+                {
+                    return;
+                }
+            }
+        });
+    }
+    sender
+}
+
+fn run(addresses: &Addresses, job: Job) -> Option<Event> {
+    let timeout = addresses.silence_timeout;
+    match job {
+        Job::Cancel { attempt, address } => {
+            endpoint::cancel(&address, &attempt, timeout);
+            None
+        }
+        Job::Poll { endpoint, address } => {
+            let report = endpoint::poll(&address, timeout);
+            Some(Event::Polled(endpoint, report))
+        }
+        Job::Order {
+            endpoint,
+            address,
+            fence,
+            version,
+        } => {
+            let answer = endpoint::order(&address, &addresses.holder, fence, version, timeout);
+            Some(Event::Ordered(endpoint, answer))
+        }
+        Job::Append {
+            append,
+            stream,
+            record,
+        } => {
+            let data = record.encode_to_vec();
+            let result = platform::append(&addresses.log, stream, data, timeout);
+            Some(Event::Appended(append, result))
+        }
+        Job::PollModel(model) => {
+            let version =
+                platform::newest_version(&addresses.weight_store, &model, timeout).ok()?;
+            Some(Event::Announced(model, version))
+        }
+        Job::PollInstances => {
+            let address = addresses.instance_list.as_ref()?;
+            let instances = platform::list_instances(address, timeout).ok()?;
+            Some(Event::Listed(instances))
+        }
+        Job::Score {
+            ticket,
+            address,
+            samples,
+        } => {
+            let scores = platform::score(&address, &samples, timeout);
+            Some(Event::Scored(ticket, scores))
+        }
+    }
+}
+
+fn follow_log(addresses: &Addresses, stream: LogStream, inputs: &Sender<Input>) {
+    let mut from = Offset(1);
+    loop {
+        let read = platform::read_log(&addresses.log, stream, from, addresses.silence_timeout);
+        let failed = read.is_err();
+        if let Ok(read) = &read {
+            from = read.next_offset.max(Offset(1));
+        }
+        let event = Event::LogRead(stream, read);
+        if inputs.send(Input::Event(event)).is_err() {
+            return;
+        }
+        if failed {
+            thread::sleep(LOG_RETRY_DELAY);
+        }
+    }
+}
