--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod hash;
 pub mod id;
 pub mod refusal;
+pub mod routing;
 pub mod settings;
 pub mod time;
