Bound retries by a budget, and quarantine requests that crash endpoints

Retries: a request goes out again only if it is idempotent or no attempt of it may have run; otherwise it gets its final answer at once, `not_run` only if that holds for every attempt. A budget for each pool (a fifth of a retry a success, one a second without any) keeps an outage from being multiplied. Weighed against a fixed number of retries a request, which multiplies load when everything fails.

Quarantine: one crash makes every request in progress run alone, a second distinct crash has it refused, a completed run clears. Suspect carries `cleared`: without it an instance that heard only of the crash condemns a request that ran well elsewhere when it is in progress at the next crash.

Signatures: RetryPolicy::new(seed), retain, note_success(now, pool), decide(now, pool, &FailedAttempt) -> RetryDecision::{Retry{at, reason}, GiveUp(Refusal)}. Quarantine::new(retention), set_retention, note_crash(now, crash, fingerprints), merge(now, &Suspect), note_completed(fingerprint), verdict(now, fingerprint, hold), updates(now).

Seen to fail: the retry tests with the check of what may have run off and with the budget not spent; the quarantine tests with clearings not taken from peers and with no sightings sent.

--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod admission;
 pub mod hash;
 pub mod id;
+pub mod quarantine;
 pub mod refusal;
+pub mod retry;
 pub mod routing;
 pub mod settings;
 pub mod time;
