--- a/wisteriaford_schema/src/main.rs
+++ b/wisteriaford_schema/src/main.rs
@@ -21,6 +21,7 @@
     let descriptors = protox::compile(SCHEMAS, [SCHEMA_DIR])?;
     let mut config = Config::new();
     config.out_dir(Path::new(OUTPUT_DIR));
+    config.boxed(".wisteriaford.fleet.FleetMessage.configuration");
     let settings = ".wisteriaford.settings";
     config.message_attribute(settings, "#[derive(serde::Serialize, serde::Deserialize)]");
     config.message_attribute(settings, "#[serde(default)]");
