Test the stand-ins by protocol promise and by fault

Each promise of the protocols and each fault gets a test over its socket: resumed streams, swaps amid a stream, fences honoured and ignored, retention, lost answers, crashes, silence, the proxy, bad input. Times are only limits against hangs. Platform starts log, weight store, instance list and scorer together.

An answer to /faults went out in two writes, so that a reader could take the head for the whole; it is one write now and the tests read by content-length. A negative number was taken for an unknown flag and the refusal didn't name the setting; it is read as a value now.

--- a/wisteriaford_standins/src/connection.rs
+++ b/wisteriaford_standins/src/connection.rs
@@ -98,22 +98,12 @@
 
     /// Sends a whole answer.
     pub(crate) fn send_json(&mut self, status: u16, body: &Value) -> io::Result<()> {
-        let bytes = body.to_string().into_bytes();
-        self.send_whole(status, "application/json", &bytes)
+        self.send(&whole_answer(status, body))
     }
 
     /// Sends a whole answer whatever the faults are.
     pub(crate) fn send_json_anyway(&mut self, status: u16, body: &Value) -> io::Result<()> {
-        let bytes = body.to_string().into_bytes();
-        let head = whole_head(status, "application/json", bytes.len());
-        self.stream.write_all(head.as_bytes())?;
-        self.stream.write_all(&bytes)
-    }
-
-    fn send_whole(&mut self, status: u16, content_type: &str, bytes: &[u8]) -> io::Result<()> {
-        let mut answer = whole_head(status, content_type, bytes.len()).into_bytes();
-        answer.extend_from_slice(bytes);
-        self.send(&answer)
+        self.stream.write_all(&whole_answer(status, body))
     }
 
     /// Begins an answer whose chunks follow.
@@ -154,11 +144,14 @@
     }
 }
 
-fn whole_head(status: u16, content_type: &str, length_bytes: usize) -> String {
+fn whole_answer(status: u16, body: &Value) -> Vec<u8> {
     let reason = reason(status);
-    format!(
-        "HTTP/1.1 {status} {reason}\r\ncontent-type: {content_type}\r\ncontent-length: {length_bytes}\r\n\r\n"
-    )
+    let body = body.to_string();
+    let length_bytes = body.len();
+    let head = format!(
+        "HTTP/1.1 {status} {reason}\r\ncontent-type: application/json\r\ncontent-length: {length_bytes}\r\n\r\n"
+    );
+    (head + &body).into_bytes()
 }
 
 const fn reason(status: u16) -> &'static str {
--- a/wisteriaford_standins/src/main.rs
+++ b/wisteriaford_standins/src/main.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
+use clap::Arg;
+use clap::CommandFactory;
+use clap::FromArgMatches;
 use clap::Parser;
 use serde_json::json;
 use wisteriaford_standins::CrashAction;
@@ -21,8 +24,20 @@
     standin: Standin,
 }
 
+/// Parses the arguments; a negative number is refused as the value of its setting.
+fn parse_arguments() -> Arguments {
+    let command = Arguments::command()
+        .mut_subcommands(|subcommand| subcommand.mut_args(allow_negative_number));
+    Arguments::from_arg_matches(&command.get_matches()).unwrap_or_else(|error| error.exit())
+}
+
+fn allow_negative_number(argument: Arg) -> Arg {
+    let takes_values = argument.get_action().takes_values();
+    argument.allow_negative_numbers(takes_values)
+}
+
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
+    let arguments = parse_arguments();
     match arguments
         .standin
         .start_at(arguments.listen, CrashAction::ExitProcess)
--- /dev/null
+++ b/wisteriaford_standins/tests/standins.rs
@@ -0,0 +1,10 @@
+//! Tests of the stand-ins against the published protocols, over their sockets.
+
+mod engine;
+mod engine_weights;
+mod faults;
+mod log;
+mod platform;
+mod process;
+mod proxy;
+mod support;
