--- a/wisteriaford/src/lib.rs
+++ b/wisteriaford/src/lib.rs
@@ -1,4 +1,14 @@
 //! Command-line tool of the wisteriaford rollout service.
 
+pub mod app;
+pub mod arguments;
 pub mod configuration_file;
+pub mod exit;
+pub mod fleet;
+pub mod history;
+pub mod pages;
 pub mod place;
+pub mod publish;
+pub mod report;
+pub mod rollout;
+pub mod table;
--- a/wisteriaford_client/src/client.rs
+++ b/wisteriaford_client/src/client.rs
@@ -21,6 +21,7 @@
 use crate::message::PullRequest;
 use crate::message::SharesAnswer;
 use crate::message::StatusAnswer;
+use crate::message::check_name;
 use crate::message::code;
 use crate::transport::CONTENT_TYPE;
 use crate::transport::Exchange;
@@ -268,6 +269,8 @@
     /// Fails where the endpoint gave no answer; [`ClientError::outcome`] says whether it may have
     /// run. An error status of the endpoint itself is an answer.
     pub fn call(&self, call: &RouteCall) -> Result<RouteAnswer, ClientError> {
+        check_name("route", &call.route)?;
+        check_name("caller", &call.caller)?;
         self.once(&call.exchange(), route_answer)
     }
 
@@ -289,6 +292,7 @@
     ///
     /// Fails where no daemon knows the request, with the last refusal if there was one.
     pub fn explain(&self, request_id: &str) -> Result<ExplainAnswer, ClientError> {
+        check_name("request_id", request_id)?;
         let exchange = Exchange::get(format!("/v1/explain/{request_id}"));
         let mut last = ClientError::NoAddress;
         for &address in &self.addresses {
--- a/wisteriaford_client/src/message.rs
+++ b/wisteriaford_client/src/message.rs
@@ -461,7 +461,8 @@
     pub configuration: C,
 }
 
-fn check_name(field: &'static str, name: &str) -> Result<(), MessageError> {
+/// Checks a name of a caller, pool, route or request.
+pub(crate) fn check_name(field: &'static str, name: &str) -> Result<(), MessageError> {
     let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:/".contains(c);
     let fits = !name.is_empty() && name.len() <= MAX_NAME_LEN_BYTES;
     if fits && name.chars().all(allowed) {
--- a/wisteriaford_client/tests/client.rs
+++ b/wisteriaford_client/tests/client.rs
@@ -99,6 +99,16 @@
     }
 }
 
+fn call() -> RouteCall {
+    RouteCall {
+        route: "badges".to_owned(),
+        caller: "door".to_owned(),
+        idempotency_key: Some("k1".to_owned()),
+        is_first_attempt: true,
+        ..RouteCall::default()
+    }
+}
+
 const GENERATED: Behaviour = Behaviour::Answers(
     200,
     r#"{"request_id":"r","text":"","tokens":0,"spans":[],"endpoint":"e","instance":"i"}"#,
@@ -143,7 +153,7 @@
 fn routed_call_is_not_sent_twice() {
     let (client, transport) = fleet(&[Behaviour::LosesAnswer, Behaviour::Answers(200, "")]);
 
-    let error = client.call(&RouteCall::default()).unwrap_err();
+    let error = client.call(&call()).unwrap_err();
 
     assert_eq!(error.outcome(), Outcome::OutcomeUnknown);
     assert_eq!(transport.sent.lock().unwrap().len(), 1);
@@ -152,15 +162,8 @@
 #[test]
 fn routed_call_carries_its_key() {
     let (client, transport) = fleet(&[Behaviour::Answers(200, "done")]);
-    let call = RouteCall {
-        route: "badges".to_owned(),
-        caller: "door".to_owned(),
-        idempotency_key: Some("k1".to_owned()),
-        is_first_attempt: true,
-        ..RouteCall::default()
-    };
 
-    let answer = client.call(&call).unwrap();
+    let answer = client.call(&call()).unwrap();
 
     let sent = transport.sent.lock().unwrap();
     let header = |name| sent[0].1.headers.iter().find(|(other, _)| *other == name);
@@ -211,6 +214,19 @@
     assert_eq!(error.code(), Some("request_unknown"));
 }
 
+#[rstest]
+#[case("")]
+#[case("r?x=1")]
+#[case("r 1")]
+fn name_that_is_no_path_part_is_not_sent(#[case] request_id: &str) {
+    let (client, transport) = fleet(&[GENERATED]);
+
+    let error = client.explain(request_id).unwrap_err();
+
+    assert_eq!(error.outcome(), Outcome::NotRun);
+    assert!(transport.sent.lock().unwrap().is_empty());
+}
+
 #[test]
 fn append_returns_the_offset() {
     let log = log(Behaviour::Answers(200, r#"{"offset":12}"#));
