Never take an answer without a length as whole

oxhttp reads an answer that names neither a length nor chunks as empty: a body that ends with the connection was lost, and a connection cut early would pass for whole. The transport now takes such an answer as lost.

--- a/wisteriaford_client/src/transport.rs
+++ b/wisteriaford_client/src/transport.rs
@@ -11,6 +11,9 @@
 use oxhttp::model::Method;
 use oxhttp::model::Request;
 use oxhttp::model::Response;
+use oxhttp::model::StatusCode;
+use oxhttp::model::header::CONTENT_LENGTH;
+use oxhttp::model::header::TRANSFER_ENCODING;
 
 /// Largest body of an answer, in bytes.
 pub const MAX_ANSWER_LEN_BYTES: u64 = 64 << 20;
@@ -189,6 +192,10 @@
             (name.as_str().to_owned(), value)
         })
         .collect();
+    if !has_length(&response) {
+        let source = io::ErrorKind::InvalidData.into();
+        return Err(TransportError::Lost { address, source });
+    }
     let mut body = Vec::new();
     response
         .into_body()
@@ -204,3 +211,10 @@
         body,
     })
 }
+
+/// Returns whether the end of the body can be told from a connection that was cut.
+fn has_length(response: &Response<Body>) -> bool {
+    let headers = response.headers();
+    let is_bodyless = matches!(response.status(), StatusCode::NO_CONTENT);
+    is_bodyless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
