Add membership by probes and gossip

Cause: duties move between instances that keep nothing, so each needs a view of all others that outlives one-way cuts, freezes, a lost zone and regions apart for minutes.

Ways weighed: heartbeats to all (all-to-all at 420 instances); the platform's list alone (lags); SWIM with probes, indirect probes, suspicion and refutation, a bounded number of updates a message and a bounded number of sends an update. The last, with local health awareness, a freeze check on the gap between two calls, and contacts to members held dead, so that halves join again. Failure reports of a member that is itself held dead are not taken. A leaving member is never shown as suspect, so that it gets no duties back. Confirmed suspicion (a timeout that shrinks with each accuser) is left out: a report names no accuser.

--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -3,16 +3,17 @@
 //! Nothing here reads a clock, opens a socket, starts a thread or draws a random number of its
 //! own: time and seeds are handed in, and what is to be done comes back as effects.
 
+pub mod admission;
+pub mod configuration;
 pub mod counters;
 pub mod effect;
 pub mod event;
 pub mod explain;
-pub mod admission;
-pub mod configuration;
 pub mod hash;
 pub mod id;
 pub mod index_set;
 pub mod label;
+pub mod membership;
 pub mod note;
 pub mod refusal;
 pub mod reply;
