Serve requests end to end through several instances

The core is put together: entry, steward, claims, steps, membership and the fold of the configuration; the daemon carries out its effects.

Generated code is included instead of being a module of its own, so that the formatter leaves it as the generator wrote it.

Not in yet: limits and shares, leases, paced rollout, bounded gossip.

--- a/wisteriaford_client/src/log.rs
+++ b/wisteriaford_client/src/log.rs
@@ -24,7 +24,7 @@
 use crate::transport::TransportError;
 
 /// Stream that the fleet keeps its records in.
-pub const STREAM: &str = "wisteriaford";
+pub const STREAM: &str = "wisteriaford-configuration";
 /// Offset of the first record of a stream.
 pub const FIRST_OFFSET: u64 = 1;
 
--- a/wisteriaford_core/src/admission/types.rs
+++ b/wisteriaford_core/src/admission/types.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use wisteriaford_proto::admission::SlotRefusalReason;
 use wisteriaford_proto::settings::Priority;
 
 use crate::id::AttemptId;
@@ -113,3 +114,32 @@
         denial: SlotDenial,
     },
 }
+
+/// Reason as it is sent; what a queue never says is sent as if it were not the steward.
+impl From<RefusalReason> for SlotRefusalReason {
+    fn from(reason: RefusalReason) -> Self {
+        match reason {
+            RefusalReason::QueueFull => Self::QueueFull,
+            RefusalReason::EndpointLeaving => Self::EndpointLeaving,
+            RefusalReason::EndpointDown => Self::EndpointDown,
+            RefusalReason::EndpointStale => Self::EndpointStale,
+            RefusalReason::Deadline => Self::Deadline,
+            RefusalReason::CallerInFlightLimit => Self::CallerLimit,
+            _ => Self::NotSteward,
+        }
+    }
+}
+
+impl From<SlotRefusalReason> for RefusalReason {
+    fn from(reason: SlotRefusalReason) -> Self {
+        match reason {
+            SlotRefusalReason::NotSteward => Self::NotSteward,
+            SlotRefusalReason::QueueFull => Self::QueueFull,
+            SlotRefusalReason::EndpointLeaving => Self::EndpointLeaving,
+            SlotRefusalReason::EndpointDown => Self::EndpointDown,
+            SlotRefusalReason::EndpointStale => Self::EndpointStale,
+            SlotRefusalReason::Deadline => Self::Deadline,
+            SlotRefusalReason::CallerLimit => Self::CallerInFlightLimit,
+        }
+    }
+}
--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -20,8 +20,9 @@
 use derive_more::Display;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use wisteriaford_proto::fleet::EndpointState;
 
-use crate::budget::AppendBudget;
+use crate::claim::ClaimSettings;
 use crate::claim::Claims;
 use crate::configuration::Fold;
 use crate::counters::Counters;
@@ -29,29 +30,40 @@
 use crate::event::Event;
 use crate::event::Identity;
 use crate::event::Ticket;
-use crate::exchange::Exchange;
 use crate::explain::Explanations;
 use crate::id::AttemptId;
+use crate::id::ClaimId;
 use crate::id::EndpointId;
+use crate::id::InstanceId;
 use crate::id::ModelId;
 use crate::id::RequestId;
+use crate::id::Revision;
 use crate::id::Version;
-use crate::lease::Leases;
-use crate::limits::CallerLimits;
+use crate::membership::Member;
+use crate::membership::MemberState;
 use crate::membership::Membership;
-use crate::placement::View as PlacementView;
+use crate::note::Note;
+use crate::placement::Rendezvous;
 use crate::quarantine::Quarantine;
 use crate::reply::Reply;
 use crate::request::Active;
 use crate::retry::RetryPolicy;
-use crate::rollout::Rollout;
 use crate::routing::Router;
 use crate::settings::Settings;
-use crate::shares::Shares;
 use crate::step::Steps;
 use crate::steward::Stewards;
 use crate::time::Timestamp;
 
+/// Pause between the last answer and the exit, in which others take over.
+pub const EXIT_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which a request stays under suspicion.
+const SUSPECT_RETENTION: Duration = Duration::from_secs(3_600);
+/// Shortest time that the log keeps a record of a claim.
+const CLAIM_RETENTION: Duration = Duration::from_secs(3_600);
+/// Largest difference between the clocks of callers and of the log.
+const CLOCK_SKEW: Duration = Duration::from_secs(30);
+/// Claims of the whole fleet that are remembered.
+const MAX_CLAIMS: usize = 500_000;
 /// Longest time between two ticks.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -87,3 +99,179 @@
         }
     }
 }
+
+/// One instance of the fleet.
+pub struct Instance {
+    identity: Identity,
+    options: Options,
+    fold: Fold,
+    settings: Arc<Settings>,
+    in_force: Revision,
+    membership: Membership,
+    placement: Rendezvous,
+    stewards_of: IndexMap<EndpointId, InstanceId>,
+    is_placed: bool,
+    endpoint_states: IndexMap<EndpointId, EndpointState>,
+    log_up: Option<bool>,
+    stewards: Stewards,
+    requests: IndexMap<RequestId, Active>,
+    attempts: IndexMap<AttemptId, RequestId>,
+    router: Router,
+    retries: RetryPolicy,
+    quarantine: Quarantine,
+    claims: Claims,
+    claims_of: IndexMap<RequestId, ClaimId>,
+    claimants: IndexMap<ClaimId, RequestId>,
+    steps: Steps,
+    versions: IndexMap<ModelId, Version>,
+    leaving_endpoints: IndexSet<EndpointId>,
+    explanations: Explanations,
+    counters: Counters,
+    effects: Vec<Effect>,
+    timers: Timers,
+    attempt_sequence: u64,
+    request_sequence: u64,
+    append_sequence: u64,
+    is_leaving: bool,
+}
+
+/// When things that are done at an interval are due next.
+#[derive(Clone, Copy, Debug, Default)]
+struct Timers {
+    heartbeat_at: Timestamp,
+    instances_at: Timestamp,
+    models_at: Timestamp,
+    exit_at: Option<Timestamp>,
+}
+
+impl Instance {
+    /// Returns an instance that has handled nothing yet.
+    #[must_use]
+    pub fn new(identity: Identity, options: Options) -> Self {
+        let seed = options.seed;
+        let me = Member {
+            id: identity.id.clone(),
+            address: identity.address.clone(),
+            availability_zone: identity.availability_zone.clone(),
+            region: identity.region.clone(),
+            incarnation: identity.incarnation,
+            state: MemberState::Alive,
+        };
+        Self {
+            fold: Fold::new(seed),
+            settings: Arc::default(),
+            in_force: Revision(0),
+            membership: Membership::new(me, &options.seeds, seed),
+            placement: Rendezvous::default(),
+            stewards_of: IndexMap::new(),
+            is_placed: false,
+            endpoint_states: IndexMap::new(),
+            log_up: None,
+            stewards: Stewards::new(identity.id.clone(), seed),
+            requests: IndexMap::new(),
+            attempts: IndexMap::new(),
+            router: Router::new(identity.availability_zone.clone()),
+            retries: RetryPolicy::new(seed),
+            quarantine: Quarantine::new(SUSPECT_RETENTION),
+            claims: Claims::new(identity.id.clone(), &claim_settings()),
+            claims_of: IndexMap::new(),
+            claimants: IndexMap::new(),
+            steps: Steps::default(),
+            versions: IndexMap::new(),
+            leaving_endpoints: IndexSet::new(),
+            explanations: Explanations::default(),
+            counters: Counters::default(),
+            effects: Vec::new(),
+            timers: Timers::default(),
+            attempt_sequence: 0,
+            request_sequence: 0,
+            append_sequence: 0,
+            is_leaving: false,
+            identity,
+            options,
+        }
+    }
+
+    /// Handles an event that happened at `now` and appends what is to be done to `effects`.
+    ///
+    /// Times must not go back from one call to the next.
+    pub fn handle(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Peer(message) => self.peer(now, &message),
+            Event::Caller(ticket, request) => self.caller(now, ticket, request),
+            Event::CallerGone(ticket) => self.caller_gone(now, ticket),
+            Event::Attempt(attempt, event) => self.attempt_event(now, &attempt, event),
+            Event::Polled(endpoint, result) => self.polled(now, &endpoint, result),
+            Event::Ordered(endpoint, answer) => self.ordered(now, &endpoint, answer),
+            Event::LogRead(stream, result) => self.log_read(now, stream, result),
+            Event::Appended(append, result) => self.appended(now, append, result),
+            Event::Listed(instances) => self.listed(&instances),
+            Event::Announced(model, version) => self.announced(&model, version),
+            Event::Scored(ticket, result) => {
+                self.with_steps(now, |steps, view, out| {
+                    steps.scored(now, ticket, result, view, out);
+                });
+            }
+            Event::Shutdown => self.shut_down(now),
+        }
+        self.settle(now);
+        effects.append(&mut self.effects);
+    }
+
+    /// Lets queues, claims and steps act on what an event changed.
+    fn settle(&mut self, now: Timestamp) {
+        self.poll_claims(now);
+        self.poll_stewards(now);
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        self.tick_fleet(now);
+        self.tick_requests(now);
+        self.with_steps(now, |steps, view, out| steps.tick(now, view, out));
+        self.finish_shutdown(now);
+    }
+
+    fn shut_down(&mut self, now: Timestamp) {
+        if self.is_leaving {
+            return;
+        }
+        self.is_leaving = true;
+        let in_progress = self.requests.len();
+        self.note(Note::ShutdownBegun { in_progress });
+        self.leave_fleet(now);
+        self.with_steps(now, |steps, view, out| steps.hand_over(now, view, out));
+    }
+
+    /// Exits once nothing is in progress, after a pause in which others take over.
+    fn finish_shutdown(&mut self, now: Timestamp) {
+        if !self.is_leaving {
+            return;
+        }
+        if !self.requests.is_empty() || !self.steps.is_idle() {
+            self.timers.exit_at = None;
+            return;
+        }
+        let exit_at = *self.timers.exit_at.get_or_insert(now + EXIT_PAUSE);
+        if now >= exit_at {
+            self.note(Note::ShutdownDone);
+            self.effects.push(Effect::Exit);
+        }
+    }
+
+    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+        self.effects.push(Effect::Reply(ticket, reply));
+    }
+
+    fn note(&mut self, note: Note) {
+        self.effects.push(Effect::Note(note));
+    }
+}
+
+fn claim_settings() -> ClaimSettings {
+    ClaimSettings {
+        retention: CLAIM_RETENTION,
+        clock_skew: CLOCK_SKEW,
+        max_claims: MAX_CLAIMS,
+    }
+}
--- a/wisteriaford_core/src/instance/callers.rs
+++ b/wisteriaford_core/src/instance/callers.rs
@@ -137,8 +137,7 @@
                 self.reply(ticket, Reply::Explained(decisions));
             }
             CallerRequest::Shares => {
-                let shares = self.share_report(now);
-                self.reply(ticket, Reply::Shares(shares));
+                self.reply(ticket, Reply::Shares(Vec::new()));
             }
             CallerRequest::Status => {
                 let status = Box::new(self.status());
@@ -195,7 +194,7 @@
 
     /// Checks a request against the settings and the limits, then begins it.
     fn take_in(&mut self, now: Timestamp, ticket: Ticket, terms: Terms) {
-        if let Err(refusal) = self.check_terms(now, &terms) {
+        if let Err(refusal) = self.check_terms(&terms) {
             self.turn_away(ticket, terms.request, refusal);
             return;
         }
@@ -228,7 +227,7 @@
         self.begin(now, active);
     }
 
-    fn check_terms(&mut self, now: Timestamp, terms: &Terms) -> Result<(), Refusal> {
+    fn check_terms(&mut self, terms: &Terms) -> Result<(), Refusal> {
         self.check_open()?;
         if !self.settings.callers.contains_key(&terms.caller) {
             return Err(Refusal::not_run(RefusalReason::UnknownCaller));
@@ -244,7 +243,7 @@
         if terms.request.as_ref().is_some_and(is_taken) {
             return Err(Refusal::not_run(RefusalReason::KeyInUse));
         }
-        self.limits.try_admit(now, &terms.caller)
+        Ok(())
     }
 
     /// Checks that this instance takes requests at all.
--- a/wisteriaford_core/src/instance/claims.rs
+++ b/wisteriaford_core/src/instance/claims.rs
@@ -1,10 +1,10 @@
 //! Rights to run non-idempotent requests, by claims in the log.
 
 use compact_str::format_compact;
+use wisteriaford_proto::record::record::Kind;
 
 use super::Instance;
 use super::callers::route_of;
-use crate::budget::AppendKind;
 use crate::claim::ClaimEnd;
 use crate::claim::ClaimKey;
 use crate::claim::ClaimOutput;
@@ -76,10 +76,10 @@
         for output in outputs {
             match output {
                 ClaimOutput::AppendClaim(claim) => {
-                    self.append(now, AppendKind::Claim, LogStream::Claims, claim);
+                    self.append(LogStream::Claims, Kind::Claim(claim));
                 }
                 ClaimOutput::AppendResult(result) => {
-                    self.append(now, AppendKind::ClaimResult, LogStream::Claims, result);
+                    self.append(LogStream::Claims, Kind::ClaimResult(result));
                 }
                 ClaimOutput::Won(claim) => {
                     if let Some(request) = self.claimants.get(&claim).cloned() {
--- a/wisteriaford_core/src/instance/requests.rs
+++ b/wisteriaford_core/src/instance/requests.rs
@@ -48,9 +48,9 @@
 use crate::work::Work;
 
 /// Time after which a steward that said nothing is asked again.
-pub const ASK_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Stewards that a request waits for at once.
-pub const ASKS_PER_REQUEST: usize = 2;
+pub(super) const ASKS_PER_REQUEST: usize = 2;
 /// Time after which a refused caller may find that endpoints are back.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Pause before a request that waits for any endpoint looks again.
@@ -574,8 +574,6 @@
         self.counters.add(Counter::Answers, 1);
         self.quarantine.note_completed(active.fingerprint);
         self.retries.note_success(now, &active.request.pool);
-        let tokens = u64::from(active.partial.tokens().max(1));
-        self.shares.received(now, &active.request.caller, tokens);
         let decision = Decision::Answered {
             endpoint: running.endpoint.clone(),
         };
@@ -593,7 +591,6 @@
         let running = self.requests.get(request)?.holding()?.clone();
         let active = self.requests.shift_remove(request)?;
         self.give_back(now, &active, &running, failed);
-        self.limits.finish(now, &active.request.caller);
         Some((active, running))
     }
 
@@ -638,7 +635,10 @@
         if proves_not_run {
             self.claim_not_run(request);
         }
-        let failed = matches!(failure, AttemptFailure::Broken | AttemptFailure::NotConnected);
+        let failed = matches!(
+            failure,
+            AttemptFailure::Broken | AttemptFailure::NotConnected
+        );
         self.give_back(now, &active, &running, failed);
         if matches!(failure, AttemptFailure::Silent | AttemptFailure::Malformed) {
             self.effects.push(Effect::Cancel {
@@ -699,7 +699,6 @@
             return;
         };
         self.stop(now, &active);
-        self.limits.finish(now, &active.request.caller);
         self.claim_refused(now, request, refusal.outcome);
         self.counters.refused(refusal.reason);
         let decision = Decision::Refused(refusal);
@@ -724,7 +723,6 @@
             return;
         };
         self.stop(now, &active);
-        self.limits.finish(now, &active.request.caller);
         let wasted = u64::from(active.partial.tokens());
         self.counters.add(Counter::WastedTokens, wasted);
         self.explanations.add(now, request, Decision::Cancelled);
--- a/wisteriaford_core/src/instance/status.rs
+++ b/wisteriaford_core/src/instance/status.rs
@@ -8,6 +8,7 @@
 use super::NotReady;
 use crate::counters::Counters;
 use crate::id::Revision;
+use crate::id::Version;
 use crate::reply::EndpointStatus;
 use crate::reply::MemberStatus;
 use crate::reply::Status;
@@ -69,12 +70,12 @@
     }
 
     fn endpoint_status(&self, endpoint: &Endpoint) -> EndpointStatus {
-        let state = self.exchange.endpoint(&endpoint.id);
+        let state = self.endpoint_states.get(&endpoint.id);
         let availability = state.map(wisteriaford_proto::fleet::EndpointState::availability);
         EndpointStatus {
             endpoint: endpoint.id.clone(),
             pool: endpoint.pool.clone(),
-            version: state.map_or_else(Default::default, |state| state.version.into()),
+            version: Version(state.map_or(0, |state| state.version)),
             in_flight: state.map_or(0, |state| state.in_flight),
             queued: state.map_or(0, |state| state.queued),
             availability: availability.map_or("unknown", availability_name),
--- a/wisteriaford_core/src/instance/steps.rs
+++ b/wisteriaford_core/src/instance/steps.rs
@@ -51,11 +51,11 @@
     }
 
     fn owner_of(&self, key: &StepKey) -> Option<InstanceId> {
-        self.placement.owner_of(key)
+        self.placement.owner(key).map(|owner| owner.id.clone())
     }
 
     fn keeper_of(&self, key: &StepKey) -> Option<InstanceId> {
-        self.placement.keeper_of(key)
+        self.placement.keeper(key).map(|keeper| keeper.id.clone())
     }
 
     fn pool(&self, pool: &PoolId) -> Option<PoolFacts> {
--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -4,6 +4,7 @@
 //! own: time and seeds are handed in, and what is to be done comes back as effects.
 
 pub mod admission;
+pub mod claim;
 pub mod configuration;
 pub mod counters;
 pub mod effect;
@@ -12,17 +13,20 @@
 pub mod hash;
 pub mod id;
 pub mod index_set;
+pub mod instance;
 pub mod label;
 pub mod membership;
 pub mod note;
-pub mod refusal;
-pub mod reply;
+pub mod placement;
 pub mod quarantine;
 pub mod refusal;
+pub mod reply;
+pub mod request;
 pub mod retry;
 pub mod routing;
 pub mod settings;
 pub mod step;
+pub mod steward;
 pub mod time;
 pub mod validation;
 pub mod work;
--- a/wisteriaford_core/src/steward.rs
+++ b/wisteriaford_core/src/steward.rs
@@ -234,7 +234,9 @@
     /// Renews the slots that an instance holds.
     pub fn heartbeat(&mut self, now: Timestamp, from: &InstanceId, held: &[HeldSlot]) {
         for (endpoint, stewarded) in &mut self.endpoints {
-            let held = held.iter().filter(|slot| slot.endpoint == endpoint.as_str());
+            let held = held
+                .iter()
+                .filter(|slot| slot.endpoint == endpoint.as_str());
             let mut grants = Vec::new();
             for slot in held {
                 let attempt = AttemptId::from(slot.attempt.as_str());
--- a/wisteriaford_proto/src/lib.rs
+++ b/wisteriaford_proto/src/lib.rs
@@ -5,35 +5,42 @@
 
 /// Settings that operators publish.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
-#[path = "generated/wisteriaford.settings.rs"]
-pub mod settings;
+pub mod settings {
+    include!("generated/wisteriaford.settings.rs");
+}
 
 /// Records that the system keeps in the platform's log.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
-#[path = "generated/wisteriaford.record.rs"]
-pub mod record;
+pub mod record {
+    include!("generated/wisteriaford.record.rs");
+}
 
 /// Membership between the instances.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
-#[path = "generated/wisteriaford.membership.rs"]
-pub mod membership;
+pub mod membership {
+    include!("generated/wisteriaford.membership.rs");
+}
 
 /// Slots of endpoints, granted by their stewards to entries.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
-#[path = "generated/wisteriaford.admission.rs"]
-pub mod admission;
+pub mod admission {
+    include!("generated/wisteriaford.admission.rs");
+}
 
 /// Training steps and their finished samples.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
-#[path = "generated/wisteriaford.step.rs"]
-pub mod step;
+pub mod step {
+    include!("generated/wisteriaford.step.rs");
+}
 
 /// State of the fleet that instances share.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
-#[path = "generated/wisteriaford.fleet.rs"]
-pub mod fleet;
+pub mod fleet {
+    include!("generated/wisteriaford.fleet.rs");
+}
 
 /// Messages between the instances.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
-#[path = "generated/wisteriaford.peer.rs"]
-pub mod peer;
+pub mod peer {
+    include!("generated/wisteriaford.peer.rs");
+}
--- a/wisteriafordd/src/metrics.rs
+++ b/wisteriafordd/src/metrics.rs
@@ -32,7 +32,7 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
-            .without_scope_info()
+            .without_target_info()
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("wisteriaford");
