Let a stream that ought to be cancelled run on at once in its test

With cancelling switched off in a trial the test hung at one token a second instead of failing; now the stream would come to its end at once.

--- a/wisteriaford_standins/tests/engine.rs
+++ b/wisteriaford_standins/tests/engine.rs
@@ -114,6 +114,7 @@
     let stream = Stream::open(address, &generate_body("r", "p", seed));
 
     let (status, _) = post(address, "/cancel", &json!({"request_id": "r"}));
+    run_faster(&engine);
 
     assert_eq!(status, 200);
     assert_eq!(stream.finish().total_tokens, None);
