Fuzz training steps against trainers that check every answer

Five instances, two trainers as the oracle, faults as transitions: kills of owner, keeper, both and entries, restarts, freezes, views that disagree, hand-overs, lost, doubled and reordered messages, lost, late and repeated answers, engines that fail, lag, slow down or leave tokens unlabelled, a scorer that fails. Once faults stop each step must complete. The test counts every kind and fails if one did not happen.

It found a stall: a previous owner that drained renewed, with each copy, the time for which its successor held its own attempts back, so one slow engine there held the step past 180 s. The wait now begins once only.

--- a/wisteriaford_core/src/step/owner.rs
+++ b/wisteriaford_core/src/step/owner.rs
@@ -305,13 +305,14 @@
         self.apply_received(context);
     }
 
-    /// Holds first attempts back that a previous owner still runs.
+    /// Holds first attempts back that a previous owner still runs, but once and for a while only:
+    /// that owner starts no second attempt, so a slow engine there would stall the step.
     fn wait_elsewhere(&mut self, now: Timestamp, running: &IndexSet) {
         for (index, slot) in (0u32..).zip(&mut self.slots) {
-            if running.contains(index) {
-                slot.not_before = slot.not_before.max(now + RUNNING_ELSEWHERE);
-            } else if self.elsewhere.contains(index) {
-                slot.not_before = now;
+            match (running.contains(index), self.elsewhere.contains(index)) {
+                (true, false) => slot.not_before = slot.not_before.max(now + RUNNING_ELSEWHERE),
+                (false, true) => slot.not_before = now,
+                (true, true) | (false, false) => {}
             }
         }
         self.elsewhere = running.clone();
--- /dev/null
+++ b/wisteriaford_core/tests/step_fuzz.rs
@@ -0,0 +1,313 @@
+//! Stateful fuzzing of training steps: five instances, two trainers as the oracle, faults as
+//! transitions; once faults stop, each step completes with each sample delivered exactly once.
+//!
+//! More seeds: `WISTERIAFORD_SEEDS=20 cargo test -p wisteriaford_core --test step_fuzz`; the first
+//! is `WISTERIAFORD_FIRST_SEED`.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use proptest::prelude::Just;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::strategy::BoxedStrategy;
+use proptest::strategy::Strategy;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRunner;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+
+#[allow(dead_code)]
+#[path = "support/step_world.rs"]
+mod step_world;
+
+use step_world::Faults;
+use step_world::World;
+
+const NODES: usize = 5;
+const TRAINERS: usize = 2;
+const CASES: u32 = 64;
+const SETTLE_MS: u64 = 180_000;
+const KINDS: [&str; 22] = [
+    "answer late",
+    "answer lost",
+    "answer repeated",
+    "engine failed",
+    "engine slow",
+    "engine stale",
+    "frozen",
+    "handed over",
+    "kill entry",
+    "kill keeper",
+    "kill owner",
+    "kill owner and keeper",
+    "message lost",
+    "message reordered",
+    "message repeated",
+    "restarted",
+    "sample unlabelled",
+    "scorer failed",
+    "trainer version",
+    "engine version",
+    "views agree",
+    "views disagree",
+];
+
+static COUNTS: Mutex<BTreeMap<&str, u64>> = Mutex::new(BTreeMap::new());
+
+#[derive(Clone, Copy, Debug)]
+enum Transition {
+    Advance(u64),
+    KillOwner(usize),
+    KillKeeper(usize),
+    KillBoth(usize),
+    KillAny(usize),
+    Restart(usize),
+    Freeze(usize),
+    Thaw,
+    Agree,
+    Disagree(usize, u8),
+    HandOver(usize),
+    TrainerVersion(usize),
+    EngineVersion,
+    Network(u64),
+    Engines(u64, bool),
+    Scorer(bool),
+    Answers(u64),
+    Calm,
+}
+
+struct Plan;
+
+impl ReferenceStateMachine for Plan {
+    type State = bool;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<bool> {
+        any::<bool>().boxed()
+    }
+
+    fn transitions(_: &bool) -> BoxedStrategy<Transition> {
+        let trainer = 0..TRAINERS;
+        let node = 0..NODES;
+        prop_oneof![
+            8 => (100u64..2_500).prop_map(Transition::Advance),
+            1 => trainer.clone().prop_map(Transition::KillOwner),
+            1 => trainer.clone().prop_map(Transition::KillKeeper),
+            1 => trainer.clone().prop_map(Transition::KillBoth),
+            1 => node.clone().prop_map(Transition::KillAny),
+            3 => node.clone().prop_map(Transition::Restart),
+            1 => node.clone().prop_map(Transition::Freeze),
+            1 => Just(Transition::Thaw),
+            2 => Just(Transition::Agree),
+            2 => (node.clone(), any::<u8>()).prop_map(|(n, m)| Transition::Disagree(n, m)),
+            1 => node.prop_map(Transition::HandOver),
+            2 => trainer.prop_map(Transition::TrainerVersion),
+            2 => Just(Transition::EngineVersion),
+            1 => (0u64..60).prop_map(Transition::Network),
+            2 => (0u64..60, any::<bool>()).prop_map(|(p, s)| Transition::Engines(p, s)),
+            2 => any::<bool>().prop_map(Transition::Scorer),
+            3 => (0u64..3).prop_map(Transition::Answers),
+            1 => Just(Transition::Calm),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: bool, _: &Transition) -> bool {
+        state
+    }
+}
+
+struct Fuzz;
+
+impl StateMachineTest for Fuzz {
+    type SystemUnderTest = World;
+    type Reference = Plan;
+
+    fn init_test(has_scorer: &bool) -> World {
+        World::new(NODES, TRAINERS, *has_scorer)
+    }
+
+    fn apply(mut world: World, _: &bool, transition: Transition) -> World {
+        count("transitions", 1);
+        apply_fault(&mut world, transition);
+        world.advance(50);
+        world
+    }
+
+    fn teardown(mut world: World, _: bool) {
+        count("cases", 1);
+        settle(&mut world);
+        world.finish_counts();
+        for (kind, times) in &world.injected {
+            count(kind, *times);
+        }
+        count("sum: samples recovered", world.total.recovered);
+        count("sum: second attempts", world.total.second_attempts);
+        count("sum: silent owners", world.total.silent_owners);
+        count("sum: too old", world.total.too_old);
+        count("sum: unlabelled", world.total.unlabelled);
+        count("sum: delivered", world.total.delivered);
+    }
+}
+
+fn count(kind: &'static str, times: u64) {
+    *COUNTS.lock().expect("counts").entry(kind).or_default() += times;
+}
+
+fn kill_ranked(world: &mut World, trainer: usize, place: usize) {
+    if let Some(node) = world.ranked(trainer, place) {
+        world.kill(node);
+    }
+}
+
+fn apply_fault(world: &mut World, transition: Transition) {
+    match transition {
+        Transition::Advance(ms) => world.advance(ms),
+        Transition::KillOwner(trainer) => {
+            world.inject("kill owner");
+            kill_ranked(world, trainer, 0);
+        }
+        Transition::KillKeeper(trainer) => {
+            world.inject("kill keeper");
+            kill_ranked(world, trainer, 1);
+        }
+        Transition::KillBoth(trainer) => {
+            world.inject("kill owner and keeper");
+            kill_ranked(world, trainer, 1);
+            kill_ranked(world, trainer, 0);
+        }
+        Transition::KillAny(node) => {
+            world.inject("kill entry");
+            world.kill(node);
+        }
+        Transition::Restart(node) => {
+            world.inject("restarted");
+            world.kill(node);
+            world.restart(node);
+        }
+        Transition::Freeze(node) => {
+            world.inject("frozen");
+            world.nodes[node].is_frozen = true;
+        }
+        Transition::Thaw => world
+            .nodes
+            .iter_mut()
+            .for_each(|node| node.is_frozen = false),
+        Transition::Agree => {
+            world.inject("views agree");
+            world.agree();
+        }
+        Transition::Disagree(node, mask) => {
+            world.inject("views disagree");
+            let names = (0..NODES).filter(|n| mask & (1 << n) != 0);
+            world.nodes[node].view.alive = names.map(|n| format!("i{n}").into()).collect();
+        }
+        Transition::HandOver(node) => {
+            world.inject("handed over");
+            let me = world.nodes[node].view.me.clone();
+            world.nodes[node].view.alive.retain(|other| *other != me);
+            world.call(node, |steps, now, view, out| {
+                steps.hand_over(now, view, out);
+            });
+        }
+        Transition::TrainerVersion(trainer) => {
+            let newest = world.engine_version;
+            let version = &mut world.trainers[trainer].version;
+            *version = newest;
+            world.inject("trainer version");
+        }
+        Transition::EngineVersion => {
+            world.inject("engine version");
+            world.engine_version += 2;
+        }
+        Transition::Network(percent) => {
+            world.faults.lose_percent = percent;
+            world.faults.repeat_percent = percent / 2;
+            world.faults.delay_ms = percent * 20;
+        }
+        Transition::Engines(percent, slow) => {
+            world.faults.engine_fail_percent = percent;
+            world.faults.unlabelled_percent = percent / 3;
+            world.faults.engine_slow = slow;
+            world.faults.engine_stale_percent = percent / 2;
+        }
+        Transition::Scorer(down) => world.faults.scorer_down = down,
+        Transition::Answers(kind) => match kind {
+            0 => world.faults.lose_answers += 1,
+            1 => world.faults.late_answers += 1,
+            _ => world.faults.repeat_answers += 1,
+        },
+        Transition::Calm => world.faults = Faults::default(),
+    }
+}
+
+/// Ends all faults and waits until each trainer holds its step.
+fn settle(world: &mut World) {
+    world.faults = Faults::default();
+    for node in 0..NODES {
+        if world.nodes[node].is_leaving && world.nodes[node].steps.is_idle() {
+            world.kill(node);
+        }
+        world.restart(node);
+    }
+    world.agree();
+    let mut waited_ms = 0;
+    while !world.trainers.iter().all(|trainer| trainer.is_done) {
+        assert!(
+            waited_ms < SETTLE_MS,
+            "a step is not whole: {}",
+            progress(world)
+        );
+        world.advance(1_000);
+        waited_ms += 1_000;
+    }
+    for trainer in &world.trainers {
+        assert_eq!(trainer.held.len(), trainer.spec.total() as usize);
+    }
+}
+
+fn progress(world: &World) -> String {
+    let held = world.trainers.iter().map(|trainer| trainer.held.len());
+    format!("held {:?}", held.collect::<Vec<_>>())
+}
+
+fn number_from(variable: &str, default: u64) -> u64 {
+    let text = std::env::var(variable).unwrap_or_default();
+    text.parse().unwrap_or(default)
+}
+
+#[test]
+fn every_sample_is_delivered_exactly_once_whatever_fails() {
+    let seeds = number_from("WISTERIAFORD_SEEDS", 1);
+    let first = number_from("WISTERIAFORD_FIRST_SEED", 0);
+    for seed in first..first + seeds {
+        let mut runner = TestRunner::new(Config {
+            cases: CASES,
+            rng_seed: RngSeed::Fixed(seed),
+            rng_algorithm: RngAlgorithm::ChaCha,
+            failure_persistence: None,
+            max_shrink_iters: 120,
+            ..Config::default()
+        });
+        let strategy = Plan::sequential_strategy(10..60);
+        let result = runner.run(&strategy, |(state, transitions, seen)| {
+            Fuzz::test_sequential(Config::default(), state, transitions, seen);
+            Ok(())
+        });
+        assert!(result.is_ok(), "seed {seed}: {}", result.unwrap_err());
+    }
+    let counts = COUNTS.lock().expect("counts");
+    println!("{counts:#?}");
+    let total = u64::from(CASES);
+    assert!(counts["cases"] >= total && counts["transitions"] >= 10 * total);
+    let sums = counts.keys().filter(|kind| kind.starts_with("sum:"));
+    for kind in KINDS.iter().chain(sums) {
+        assert!(
+            counts.get(kind).is_some_and(|&times| times > 0),
+            "no {kind}"
+        );
+    }
+}
--- /dev/null
+++ b/wisteriaford_core/tests/support/step_world.rs
@@ -0,0 +1,647 @@
+//! Several `Steps` instances with fake engines, a fake scorer and simple trainers, in virtual
+//! time. The trainers are the oracle: they check each answer as it comes out.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wisteriaford_core::hash::hash_parts;
+use wisteriaford_core::hash::rendezvous_rank;
+use wisteriaford_core::id::CallerId;
+use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::InstanceId;
+use wisteriaford_core::id::PoolId;
+use wisteriaford_core::id::PullNumber;
+use wisteriaford_core::id::StepKey;
+use wisteriaford_core::id::StepNumber;
+use wisteriaford_core::id::Version;
+use wisteriaford_core::index_set::IndexSet;
+use wisteriaford_core::label::Label;
+use wisteriaford_core::label::Span;
+use wisteriaford_core::step::FinishedSample;
+use wisteriaford_core::step::PoolFacts;
+use wisteriaford_core::step::Pull;
+use wisteriaford_core::step::PullAnswer;
+use wisteriaford_core::step::PullRefusal;
+use wisteriaford_core::step::PullTicket;
+use wisteriaford_core::step::SampleAttempt;
+use wisteriaford_core::step::SampleFailure;
+use wisteriaford_core::step::Score;
+use wisteriaford_core::step::ScoreFailure;
+use wisteriaford_core::step::ScoreItem;
+use wisteriaford_core::step::ScoreTicket;
+use wisteriaford_core::step::Start;
+use wisteriaford_core::step::StepCounters;
+use wisteriaford_core::step::StepOutput;
+use wisteriaford_core::step::StepSpec;
+use wisteriaford_core::step::StepView;
+use wisteriaford_core::step::Steps;
+use wisteriaford_core::step::sample_seed;
+use wisteriaford_core::time::Timestamp;
+use wisteriaford_proto::step::StepMessage;
+
+pub(crate) const BOUND_VERSIONS: u64 = 2;
+pub(crate) const ENDPOINTS: u64 = 4;
+const TICK_MS: u64 = 50;
+const WAIT: Duration = Duration::from_secs(3);
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The view of one instance.
+pub(crate) struct View {
+    pub(crate) me: InstanceId,
+    pub(crate) alive: Vec<InstanceId>,
+    pub(crate) facts: PoolFacts,
+}
+
+impl View {
+    fn ranked(&self, key: &StepKey, place: usize) -> Option<InstanceId> {
+        let mut alive = self.alive.clone();
+        let rank = |instance: &InstanceId| rendezvous_rank(&key.to_string(), instance.as_str());
+        alive.sort_by_key(|instance| std::cmp::Reverse(rank(instance)));
+        alive.get(place).cloned()
+    }
+}
+
+impl StepView for View {
+    fn me(&self) -> InstanceId {
+        self.me.clone()
+    }
+
+    fn owner_of(&self, key: &StepKey) -> Option<InstanceId> {
+        self.ranked(key, 0)
+    }
+
+    fn keeper_of(&self, key: &StepKey) -> Option<InstanceId> {
+        self.ranked(key, 1)
+    }
+
+    fn pool(&self, _: &PoolId) -> Option<PoolFacts> {
+        Some(self.facts)
+    }
+}
+
+pub(crate) struct Node {
+    pub(crate) steps: Steps,
+    pub(crate) view: View,
+    pub(crate) is_up: bool,
+    pub(crate) is_frozen: bool,
+    pub(crate) is_leaving: bool,
+    run: u64,
+}
+
+/// What is under way to an instance.
+#[derive(Clone)]
+enum Arrival {
+    Peer(InstanceId, StepMessage),
+    Finished(SampleAttempt, Result<FinishedSample, SampleFailure>),
+    Scored(ScoreTicket, Result<Vec<Score>, ScoreFailure>),
+}
+
+struct Flight {
+    at: Timestamp,
+    to: usize,
+    run: u64,
+    arrival: Arrival,
+}
+
+/// Faults in force.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Faults {
+    pub(crate) lose_percent: u64,
+    pub(crate) repeat_percent: u64,
+    pub(crate) delay_ms: u64,
+    pub(crate) engine_fail_percent: u64,
+    pub(crate) engine_slow: bool,
+    pub(crate) engine_stale_percent: u64,
+    pub(crate) unlabelled_percent: u64,
+    pub(crate) scorer_down: bool,
+    pub(crate) lose_answers: u64,
+    pub(crate) late_answers: u64,
+    pub(crate) repeat_answers: u64,
+}
+
+/// A trainer: its received set is the truth.
+pub(crate) struct Trainer {
+    pub(crate) key: StepKey,
+    pub(crate) spec: Arc<StepSpec>,
+    pub(crate) held: HashSet<u32>,
+    pub(crate) number: u64,
+    pub(crate) version: u64,
+    waits_at: Option<Timestamp>,
+    with_spec: bool,
+    next_node: usize,
+    pub(crate) is_done: bool,
+}
+
+struct Open {
+    trainer: usize,
+    run: u64,
+    node: usize,
+    pull: Pull,
+}
+
+pub(crate) struct World {
+    pub(crate) now: Timestamp,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) trainers: Vec<Trainer>,
+    pub(crate) faults: Faults,
+    pub(crate) engine_version: u64,
+    pub(crate) injected: BTreeMap<&'static str, u64>,
+    pub(crate) total: StepCounters,
+    pub(crate) starts: Vec<(usize, Start)>,
+    flights: Vec<Flight>,
+    open: BTreeMap<PullTicket, Open>,
+    late: Vec<(Timestamp, usize, PullAnswer)>,
+    cancelled: HashSet<(usize, u64, u64)>,
+    tickets: u64,
+    draws: u64,
+}
+
+pub(crate) fn key(trainer: usize) -> StepKey {
+    StepKey {
+        trainer: CallerId::from(format!("trainer-{trainer}")),
+        number: StepNumber(1),
+    }
+}
+
+pub(crate) fn spec() -> Arc<StepSpec> {
+    Arc::new(StepSpec {
+        group_size: 4,
+        max_tokens: 400,
+        prompts: (0..6).map(|group| format!("prompt {group}")).collect(),
+    })
+}
+
+/// Length and text of a sample: functions of its prompt and seed alone.
+fn sample_text(prompt: &str, seed: u64) -> (u32, String) {
+    let hash = hash_parts(&[prompt.as_bytes(), &seed.to_le_bytes()]);
+    let tail = if hash.is_multiple_of(10) { 300 } else { 30 };
+    let tokens = 5 + u32::try_from(hash % tail).expect("small");
+    (tokens, format!("{hash:x}"))
+}
+
+impl World {
+    pub(crate) fn new(nodes: usize, trainers: usize, has_scorer: bool) -> Self {
+        let facts = PoolFacts {
+            staleness_bound_versions: BOUND_VERSIONS,
+            has_scorer,
+            free_slots: 16,
+        };
+        let names: Vec<InstanceId> = (0..nodes).map(|n| format!("i{n}").into()).collect();
+        let node = |me: &InstanceId| Node {
+            steps: Steps::default(),
+            view: View {
+                me: me.clone(),
+                alive: names.clone(),
+                facts,
+            },
+            is_up: true,
+            is_frozen: false,
+            is_leaving: false,
+            run: 0,
+        };
+        let trainer = |number| Trainer {
+            key: key(number),
+            spec: spec(),
+            held: HashSet::new(),
+            number: 1,
+            version: 3,
+            waits_at: None,
+            with_spec: true,
+            next_node: number,
+            is_done: false,
+        };
+        Self {
+            now: Timestamp::from_millis(1_000),
+            nodes: names.iter().map(node).collect(),
+            trainers: (0..trainers).map(trainer).collect(),
+            faults: Faults::default(),
+            engine_version: 3,
+            injected: BTreeMap::new(),
+            total: StepCounters::default(),
+            starts: Vec::new(),
+            flights: Vec::new(),
+            open: BTreeMap::new(),
+            late: Vec::new(),
+            cancelled: HashSet::new(),
+            tickets: 0,
+            draws: 0,
+        }
+    }
+
+    pub(crate) fn inject(&mut self, kind: &'static str) {
+        *self.injected.entry(kind).or_default() += 1;
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.draws += 1;
+        hash_parts(&[b"draw", &self.draws.to_le_bytes()]) % below
+    }
+
+    fn happens(&mut self, percent: u64, kind: &'static str) -> bool {
+        let happens = self.draw(100) < percent;
+        if happens {
+            self.inject(kind);
+        }
+        happens
+    }
+
+    fn index_of(&self, id: &InstanceId) -> Option<usize> {
+        self.nodes.iter().position(|node| node.view.me == *id)
+    }
+
+    /// Returns the instance at a place in the true rank of a trainer's step.
+    pub(crate) fn ranked(&self, trainer: usize, place: usize) -> Option<usize> {
+        let up = |node: &&Node| node.is_up && !node.is_leaving;
+        let view = View {
+            me: InstanceId::from("oracle"),
+            alive: self
+                .nodes
+                .iter()
+                .filter(up)
+                .map(|node| node.view.me.clone())
+                .collect(),
+            facts: PoolFacts::default(),
+        };
+        self.index_of(&view.ranked(&self.trainers[trainer].key, place)?)
+    }
+
+    /// Ends an instance; its work, connections and copies are gone.
+    pub(crate) fn kill(&mut self, node: usize) {
+        if !self.nodes[node].is_up {
+            return;
+        }
+        let counters = self.nodes[node].steps.counters();
+        self.add(counters);
+        self.nodes[node].is_up = false;
+        self.nodes[node].is_leaving = false;
+        self.nodes[node].steps = Steps::default();
+        self.nodes[node].run += 1;
+    }
+
+    /// Starts an instance that remembers nothing.
+    pub(crate) fn restart(&mut self, node: usize) {
+        self.nodes[node].is_up = true;
+        self.nodes[node].is_frozen = false;
+    }
+
+    /// Lets all views be true.
+    pub(crate) fn agree(&mut self) {
+        let up = |node: &&Node| node.is_up && !node.is_leaving;
+        let alive = self
+            .nodes
+            .iter()
+            .filter(up)
+            .map(|node| node.view.me.clone());
+        let alive: Vec<InstanceId> = alive.collect();
+        for node in &mut self.nodes {
+            node.view.alive.clone_from(&alive);
+        }
+    }
+
+    fn add(&mut self, counters: StepCounters) {
+        self.total.recovered += counters.recovered;
+        self.total.second_attempts += counters.second_attempts;
+        self.total.silent_owners += counters.silent_owners;
+        self.total.too_old += counters.too_old;
+        self.total.unlabelled += counters.unlabelled;
+        self.total.score_failures += counters.score_failures;
+        self.total.delivered += counters.delivered;
+    }
+
+    pub(crate) fn finish_counts(&mut self) {
+        for node in 0..self.nodes.len() {
+            let counters = self.nodes[node].steps.counters();
+            self.add(counters);
+        }
+    }
+
+    pub(crate) fn advance(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(TICK_MS) {
+            self.now = self.now + Duration::from_millis(TICK_MS);
+            self.arrive();
+            for node in 0..self.nodes.len() {
+                self.call(node, |steps, now, view, out| steps.tick(now, view, out));
+            }
+            self.run_trainers();
+        }
+    }
+
+    pub(crate) fn call(
+        &mut self,
+        node: usize,
+        act: impl FnOnce(&mut Steps, Timestamp, &View, &mut Vec<StepOutput>),
+    ) {
+        let mut out = Vec::new();
+        let target = &mut self.nodes[node];
+        if !target.is_up || target.is_frozen {
+            return;
+        }
+        act(&mut target.steps, self.now, &target.view, &mut out);
+        for output in out {
+            self.carry_out(node, output);
+        }
+    }
+
+    fn arrive(&mut self) {
+        let (due, later) = std::mem::take(&mut self.flights)
+            .into_iter()
+            .partition(|flight| flight.at <= self.now);
+        self.flights = later;
+        for flight in due {
+            let node = &self.nodes[flight.to];
+            let is_gone = node.run != flight.run && !matches!(flight.arrival, Arrival::Peer(..));
+            if node.is_frozen && !is_gone {
+                let at = self.now + Duration::from_millis(TICK_MS);
+                self.flights.push(Flight { at, ..flight });
+            } else if !is_gone {
+                self.deliver(flight.to, flight.arrival);
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, arrival: Arrival) {
+        let run = self.nodes[to].run;
+        match arrival {
+            Arrival::Peer(from, message) => self.call(to, |steps, now, view, out| {
+                let result = steps.peer(now, &from, &message, view, out);
+                result.expect("well-formed message");
+            }),
+            Arrival::Finished(attempt, result) => {
+                if self.cancelled.contains(&(to, run, attempt.try_number)) {
+                    return;
+                }
+                self.call(to, |steps, now, view, out| {
+                    steps.sample_finished(now, &attempt, result, view, out);
+                });
+            }
+            Arrival::Scored(ticket, result) => self.call(to, |steps, now, view, out| {
+                steps.scored(now, ticket, result, view, out);
+            }),
+        }
+    }
+
+    fn fly(&mut self, to: usize, delay: Duration, arrival: Arrival) {
+        let run = self.nodes[to].run;
+        let at = self.now + delay;
+        self.flights.push(Flight {
+            at,
+            to,
+            run,
+            arrival,
+        });
+    }
+
+    fn carry_out(&mut self, node: usize, output: StepOutput) {
+        let run = self.nodes[node].run;
+        match output {
+            StepOutput::Start(start) => self.run_engine(node, &start),
+            StepOutput::Cancel(attempt) => {
+                self.cancelled.insert((node, run, attempt.try_number));
+            }
+            StepOutput::Score {
+                ticket, samples, ..
+            } => self.score(node, ticket, &samples),
+            StepOutput::Answer { ticket, answer } => self.answer(ticket, answer),
+            StepOutput::Refuse { ticket, reason } => self.refuse(ticket, reason),
+            StepOutput::Send { to, message } => self.send(node, &to, &message),
+        }
+    }
+
+    fn send(&mut self, node: usize, to: &InstanceId, message: &StepMessage) {
+        let from = self.nodes[node].view.me.clone();
+        let Some(to) = self.index_of(to) else { return };
+        if self.happens(self.faults.lose_percent, "message lost") {
+            return;
+        }
+        let copies = 1 + usize::from(self.happens(self.faults.repeat_percent, "message repeated"));
+        for _ in 0..copies {
+            let spread = self.draw(self.faults.delay_ms + 1);
+            if spread > TICK_MS {
+                self.inject("message reordered");
+            }
+            let arrival = Arrival::Peer(from.clone(), message.clone());
+            self.fly(to, Duration::from_millis(spread), arrival);
+        }
+    }
+
+    fn run_engine(&mut self, node: usize, start: &Start) {
+        let attempt = start.attempt.clone();
+        assert_eq!(start.seed, sample_seed(&attempt.key, attempt.index));
+        self.starts.push((node, start.clone()));
+        let number = self.draw(ENDPOINTS);
+        let endpoint = EndpointId::from(format!("e{number}"));
+        let (tokens, text) = sample_text(&start.prompt, start.seed);
+        let slow = if self.faults.engine_slow && number == 0 {
+            self.inject("engine slow");
+            20
+        } else {
+            1
+        };
+        let time = Duration::from_millis(u64::from(tokens) * 40 * slow);
+        if self.happens(self.faults.engine_fail_percent, "engine failed") {
+            let arrival = Arrival::Finished(attempt, Err(SampleFailure::Lost));
+            return self.fly(node, time / 2, arrival);
+        }
+        let mut label = Label::default();
+        let half = (tokens / 2).max(1);
+        let lag = 3 * u64::from(self.happens(self.faults.engine_stale_percent, "engine stale"));
+        let version = Version(self.engine_version.saturating_sub(lag).max(1));
+        let newer = Version(self.engine_version + u64::from(number == 1));
+        let mut add = |from_token, to_token, version| {
+            let span = Span {
+                from_token,
+                to_token,
+                version,
+            };
+            label.append(span).expect("next span");
+        };
+        add(0, half, version);
+        if !self.happens_unlabelled() {
+            add(half, tokens, newer);
+        }
+        let at = &endpoint;
+        self.call_progress(node, &attempt, at);
+        let sample = FinishedSample {
+            index: attempt.index,
+            group: attempt.index / 4,
+            text,
+            tokens,
+            label,
+            score_milli: None,
+            instance: self.nodes[node].view.me.clone(),
+            endpoint,
+        };
+        self.fly(node, time, Arrival::Finished(attempt, Ok(sample)));
+    }
+
+    fn happens_unlabelled(&mut self) -> bool {
+        self.happens(self.faults.unlabelled_percent, "sample unlabelled")
+    }
+
+    fn call_progress(&mut self, node: usize, attempt: &SampleAttempt, endpoint: &EndpointId) {
+        self.nodes[node].steps.sample_progress(attempt, endpoint, 1);
+    }
+
+    fn score(&mut self, node: usize, ticket: ScoreTicket, samples: &[ScoreItem]) {
+        let result = if self.faults.scorer_down {
+            self.inject("scorer failed");
+            Err(ScoreFailure)
+        } else {
+            Ok(samples.iter().map(score).collect())
+        };
+        let arrival = Arrival::Scored(ticket, result);
+        self.fly(node, Duration::from_millis(100), arrival);
+    }
+
+    /// Checks an answer, then lets it get lost, late or repeated on its way to the trainer.
+    fn answer(&mut self, ticket: PullTicket, answer: PullAnswer) {
+        let open = self.open.remove(&ticket).expect("answered once");
+        assert_eq!(answer.number, open.pull.number);
+        let mut seen = HashSet::new();
+        let spec = spec();
+        for sample in &answer.samples {
+            assert!(seen.insert(sample.index), "index twice in one answer");
+            assert!(
+                !open.pull.received.contains(sample.index),
+                "index was received"
+            );
+            self.check_sample(&open, &spec, sample);
+        }
+        let held = open.pull.received.len() + answer.samples.len();
+        assert_eq!(answer.complete, held == spec.total() as usize, "complete");
+        if self.faults.lose_answers > 0 {
+            self.faults.lose_answers -= 1;
+            return self.inject("answer lost");
+        }
+        if self.faults.repeat_answers > 0 {
+            self.faults.repeat_answers -= 1;
+            self.inject("answer repeated");
+            self.take(open.trainer, &answer);
+        }
+        if self.faults.late_answers > 0 {
+            self.faults.late_answers -= 1;
+            self.inject("answer late");
+            let at = self.now + CLIENT_TIMEOUT * 2;
+            return self.late.push((at, open.trainer, answer));
+        }
+        self.take(open.trainer, &answer);
+    }
+
+    fn check_sample(&self, open: &Open, spec: &StepSpec, sample: &FinishedSample) {
+        assert!(sample.index < spec.total());
+        assert_eq!(
+            sample.label.tokens(),
+            sample.tokens,
+            "a token has no version"
+        );
+        let oldest = sample.label.oldest().expect("labelled");
+        let allowed = open.pull.current_version.0.saturating_sub(BOUND_VERSIONS);
+        assert!(
+            oldest.0 >= allowed,
+            "sample of {oldest}, oldest allowed {allowed}"
+        );
+        let seed = sample_seed(&open.pull.key, sample.index);
+        let (tokens, text) = sample_text(spec.prompt_of(sample.index), seed);
+        assert_eq!(
+            (sample.tokens, &sample.text),
+            (tokens, &text),
+            "another sample's text"
+        );
+        let has_scorer = self.nodes[open.node].view.facts.has_scorer;
+        assert_eq!(sample.score_milli.is_some(), has_scorer, "score");
+    }
+
+    /// A trainer takes the answer to the pull that it waits for, and no other.
+    fn take(&mut self, trainer: usize, answer: &PullAnswer) {
+        let trainer = &mut self.trainers[trainer];
+        if answer.number.0 != trainer.number || trainer.is_done {
+            return;
+        }
+        for sample in &answer.samples {
+            assert!(trainer.held.insert(sample.index), "delivered twice");
+        }
+        trainer.is_done = answer.complete;
+        trainer.number += 1;
+        trainer.waits_at = None;
+        trainer.with_spec = false;
+    }
+
+    fn refuse(&mut self, ticket: PullTicket, reason: PullRefusal) {
+        let open = self.open.remove(&ticket).expect("refused once");
+        let trainer = &mut self.trainers[open.trainer];
+        if open.pull.number.0 != trainer.number {
+            return;
+        }
+        match reason {
+            PullRefusal::StepUnknown => trainer.with_spec = true,
+            PullRefusal::Superseded => trainer.number += 1,
+            other => panic!("refused: {other}"),
+        }
+        trainer.waits_at = None;
+    }
+
+    fn run_trainers(&mut self) {
+        let due = |late: &mut (Timestamp, usize, PullAnswer)| late.0 <= self.now;
+        for (_, trainer, answer) in self.late.extract_if(.., due).collect::<Vec<_>>() {
+            self.take(trainer, &answer);
+        }
+        for number in 0..self.trainers.len() {
+            let trainer = &self.trainers[number];
+            let waits_at = trainer.waits_at;
+            let is_lost = waits_at.is_some_and(|at| self.now.since(at) >= CLIENT_TIMEOUT);
+            if trainer.is_done || (waits_at.is_some() && !is_lost) {
+                continue;
+            }
+            if is_lost && self.draw(2) == 0 {
+                self.trainers[number].number += 1;
+            }
+            self.pull(number);
+        }
+    }
+
+    fn pull(&mut self, number: usize) {
+        self.tickets += 1;
+        let ticket = PullTicket(self.tickets);
+        let now = self.now;
+        let trainer = &mut self.trainers[number];
+        trainer.waits_at = Some(now);
+        trainer.next_node = (trainer.next_node + 1) % self.nodes.len();
+        let node = trainer.next_node;
+        let mut received = IndexSet::default();
+        for &index in &trainer.held {
+            received.insert(index).expect("in bounds");
+        }
+        let pull = Pull {
+            ticket,
+            key: trainer.key.clone(),
+            pool: PoolId::from("pool"),
+            number: PullNumber(trainer.number),
+            received,
+            current_version: Version(trainer.version),
+            wait: WAIT,
+            spec: trainer.with_spec.then(|| trainer.spec.clone()),
+        };
+        let run = self.nodes[node].run;
+        let open = Open {
+            trainer: number,
+            run,
+            node,
+            pull: pull.clone(),
+        };
+        self.open
+            .retain(|_, open| self.nodes[open.node].run == open.run);
+        self.open.insert(ticket, open);
+        self.call(node, |steps, now, view, out| {
+            steps.pull(now, pull, view, out);
+        });
+    }
+}
+
+fn score(item: &ScoreItem) -> Score {
+    Score {
+        index: item.index,
+        score_milli: i64::try_from(item.text.len()).expect("short"),
+    }
+}
