Start nothing for a trainer that stopped pulling, and leave its copies

An owner that was frozen past a step's time to live dropped the step and the keeper's copy with it, although another owner may rely on that copy by then. Only a whole step tells its keeper now; other copies expire by themselves. Starts end after 15 s without a pull, as a step lives for 60 s. The new test fails with either part taken out.

--- a/wisteriaford_core/src/step/limits.rs
+++ b/wisteriaford_core/src/step/limits.rs
@@ -65,3 +65,5 @@
 pub const MAX_WHOLE_STEPS: usize = 256;
 /// Part of a step, as a divisor, that may be missing when second attempts start.
 pub const SECOND_ATTEMPT_DIVISOR: usize = 8;
+/// Time without a pull after which a step starts no more attempts.
+pub const START_IDLE: Duration = Duration::from_secs(15);
--- a/wisteriaford_core/src/step/state.rs
+++ b/wisteriaford_core/src/step/state.rs
@@ -141,10 +141,10 @@
         }
     }
 
+    /// Drops a step; its second copy is left to expire, for another owner may rely on it.
     fn drop_step(&mut self, context: &mut Context<'_>, key: &StepKey) {
         if let Some(mut step) = self.owned.shift_remove(key) {
             step.cancel_all(context);
-            step.drop_copy(context);
         }
     }
 
@@ -307,6 +307,7 @@
         };
         if step.is_whole() {
             let (number, total) = (step.highest, step.total());
+            step.drop_copy(context);
             self.remember_whole(key, WholeStep { number, total });
             self.drop_step(context, key);
             return;
--- a/wisteriaford_core/src/step/work.rs
+++ b/wisteriaford_core/src/step/work.rs
@@ -11,6 +11,7 @@
 use super::limits::OVERDUE;
 use super::limits::OVERDUE_UNKNOWN;
 use super::limits::SECOND_ATTEMPT_DIVISOR;
+use super::limits::START_IDLE;
 use super::output::Start;
 use super::output::StepOutput;
 use super::owner::OwnedStep;
@@ -69,7 +70,8 @@
     }
 
     fn may_work(&self, now: Timestamp) -> bool {
-        self.draining_to.is_none() && !self.is_recovering(now)
+        let is_pulled = now.since(self.last_pull_at) < START_IDLE;
+        is_pulled && self.draining_to.is_none() && !self.is_recovering(now)
     }
 
     /// Starts first attempts, likely stragglers first; returns how many.
--- a/wisteriaford_core/tests/step.rs
+++ b/wisteriaford_core/tests/step.rs
@@ -18,6 +18,7 @@
 use wisteriaford_core::step::SampleFailure;
 use wisteriaford_core::step::Start;
 use wisteriaford_core::step::StepOutput;
+use wisteriaford_core::step::StepView;
 use wisteriaford_core::step::Steps;
 use wisteriaford_core::time::Timestamp;
 use wisteriaford_proto::step::PullStatus;
@@ -50,6 +51,14 @@
     }
 }
 
+/// A view in which this instance owns the step and another keeps it.
+fn view_with_keeper() -> View {
+    let names = (0..64).map(|number| format!("keeper-{number}"));
+    let mut views = names.map(|name| view(&["me", name.as_str()]));
+    let is_owner = |view: &View| view.owner_of(&key(0)) == Some(view.me.clone());
+    views.find(is_owner).expect("a name that ranks below")
+}
+
 fn pull(number: u64, received: &[u32]) -> Pull {
     let mut set = IndexSet::default();
     for &index in received {
@@ -295,6 +304,29 @@
     assert!(steps.is_idle());
 }
 
+#[test]
+fn step_without_pulls_starts_nothing_and_leaves_the_copy_alone() {
+    let alone = view(&["me"]);
+    let mut steps = Steps::default();
+    let mut out = Vec::new();
+    let first = own_step(&mut steps, &alone);
+    let view = view_with_keeper();
+    let now = Timestamp::from_millis(1_000);
+    steps.tick(now, &view, &mut out);
+    steps.pull_closed(PullTicket(1));
+    let failure = Err(SampleFailure::Lost);
+    steps.sample_finished(now, &first[0].attempt, failure, &view, &mut out);
+    steps.tick(now + Duration::from_secs(16), &view, &mut out);
+    assert!(starts(&out).is_empty());
+    steps.tick(now + Duration::from_secs(61), &view, &mut out);
+    assert_eq!(steps.counters().expired_steps, 1);
+    let is_drop = |output: &StepOutput| match output {
+        StepOutput::Send { message, .. } => matches!(message.body, Some(Body::Drop(_))),
+        _ => false,
+    };
+    assert!(!out.iter().any(is_drop));
+}
+
 #[test]
 fn keeper_delivers_what_a_dead_owner_finished_without_making_it_again() {
     let mut world = World::new(3, 1, false);
