--- a/wisteriaford/src/configuration_file.rs
+++ b/wisteriaford/src/configuration_file.rs
@@ -10,6 +10,7 @@
 use wisteriaford_core::validation::FaultKind;
 use wisteriaford_proto::settings::Configuration;
 
+use crate::place::Lines;
 use crate::place::Place;
 
 mod reader;
@@ -138,8 +139,9 @@
     /// Reads and checks the text of a file.
     #[must_use]
     pub fn from_text(text: &str) -> Self {
-        let mut read = reader::read(text);
-        let semantic = semantics::faults(text, &read);
+        let lines = Lines::new(text);
+        let mut read = reader::read(text, &lines);
+        let semantic = semantics::faults(&lines, &read);
         read.faults.extend(semantic);
         read.faults.sort_by_key(|fault| fault.place);
         Self {
@@ -176,7 +178,7 @@
         let valid = String::from_utf8_lossy(&error.as_bytes()[..valid_len]);
         FileError::NotText {
             path: path.to_owned(),
-            place: Place::of_byte(&valid, valid_len),
+            place: Lines::new(&valid).place(valid_len),
         }
     })
 }
--- a/wisteriaford/src/configuration_file/reader.rs
+++ b/wisteriaford/src/configuration_file/reader.rs
@@ -13,7 +13,7 @@
 
 use crate::configuration_file::FileFault;
 use crate::configuration_file::FileFaultKind;
-use crate::place::Place;
+use crate::place::Lines;
 
 const LEAST_SIMILARITY: f64 = 0.7;
 
@@ -52,10 +52,10 @@
 }
 
 /// Reads a text as far as it can be read.
-pub(super) fn read(text: &str) -> ReadFile {
+pub(super) fn read(text: &str, lines: &Lines<'_>) -> ReadFile {
     let (document, errors) = DeTable::parse_recoverable(text);
     let mut reader = Reader {
-        text,
+        lines,
         read: ReadFile {
             has_syntax_faults: !errors.is_empty(),
             ..ReadFile::default()
@@ -73,7 +73,7 @@
 }
 
 struct Reader<'a> {
-    text: &'a str,
+    lines: &'a Lines<'a>,
     read: ReadFile,
 }
 
@@ -179,7 +179,7 @@
     }
 
     fn fault(&mut self, offset: usize, kind: FileFaultKind) {
-        let place = Place::of_byte(self.text, offset);
+        let place = self.lines.place(offset);
         self.read.faults.push(FileFault { place, kind });
     }
 }
--- a/wisteriaford/src/configuration_file/semantics.rs
+++ b/wisteriaford/src/configuration_file/semantics.rs
@@ -11,18 +11,18 @@
 use crate::configuration_file::reader::EntrySpans;
 use crate::configuration_file::reader::FieldKey;
 use crate::configuration_file::reader::ReadFile;
-use crate::place::Place;
+use crate::place::Lines;
 
 /// Fields by which entries refer to each other.
 const REFERRING_FIELDS: [&str; 5] = ["name", "pool", "kind", "model", "leaving"];
 
 /// Returns the semantic faults of what was read.
-pub(super) fn faults(text: &str, read: &ReadFile) -> Vec<FileFault> {
+pub(super) fn faults(lines: &Lines<'_>, read: &ReadFile) -> Vec<FileFault> {
     validate(&read.configuration)
         .into_iter()
         .filter(|fault| !follows_from_another(read, fault))
         .map(|fault| FileFault {
-            place: Place::of_byte(text, offset(read, &fault.path)),
+            place: lines.place(offset(read, &fault.path)),
             kind: FileFaultKind::Semantic {
                 path: fault.path.to_string(),
                 kind: fault.kind,
--- a/wisteriaford/src/place.rs
+++ b/wisteriaford/src/place.rs
@@ -13,16 +13,35 @@
     pub column: usize,
 }
 
-impl Place {
-    /// Returns the place of a byte; one past the end is the place after the last character.
+/// Text whose lines were found once, to look up many places in it.
+#[derive(Clone, Debug)]
+pub struct Lines<'a> {
+    text: &'a str,
+    starts: Vec<usize>,
+}
+
+impl<'a> Lines<'a> {
+    /// Finds the lines of a text.
     #[must_use]
-    pub fn of_byte(text: &str, offset: usize) -> Self {
-        let bytes = &text.as_bytes()[..offset.min(text.len())];
-        let before = String::from_utf8_lossy(bytes);
-        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+    pub fn new(text: &'a str) -> Self {
+        let newlines = text.match_indices('\n');
+        let later = newlines.map(|(offset, _)| offset + 1);
         Self {
-            line: before.matches('\n').count() + 1,
-            column: before[line_start..].chars().count() + 1,
+            text,
+            starts: std::iter::once(0).chain(later).collect(),
+        }
+    }
+
+    /// Returns the place of a byte; one past the end is the place after the last character.
+    #[must_use]
+    pub fn place(&self, offset: usize) -> Place {
+        let line = self.starts.partition_point(|&start| start <= offset);
+        let start = self.starts[line - 1];
+        let characters = self.text[start..].char_indices();
+        let before = characters.take_while(|(index, _)| start + index < offset);
+        Place {
+            line,
+            column: before.count() + 1,
         }
     }
 }
--- a/wisteriaford/tests/configuration_file.rs
+++ b/wisteriaford/tests/configuration_file.rs
@@ -5,7 +5,9 @@
 use rstest::rstest;
 use wisteriaford::configuration_file::CheckedFile;
 use wisteriaford::configuration_file::FileError;
+use wisteriaford::place::Lines;
 use wisteriaford::place::Place;
+use wisteriaford::report::ShowReport;
 
 const EXAMPLE: &str = include_str!("../../extra/example.toml");
 
@@ -179,7 +181,37 @@
 fn columns_count_characters(#[case] offset: usize, #[case] line: usize, #[case] column: usize) {
     let text = "ab\néàx";
 
-    assert_eq!(Place::of_byte(text, offset), Place { line, column });
+    assert_eq!(Lines::new(text).place(offset), Place { line, column });
+}
+
+#[test]
+fn what_show_prints_is_a_file_without_faults() {
+    let configuration = CheckedFile::from_text(EXAMPLE).configuration;
+    let report = ShowReport {
+        revision: 3,
+        publication_id: "p".to_owned(),
+        author: Some("ann\n[[pools]]".to_owned()),
+        configuration: configuration.clone(),
+    };
+
+    let checked = CheckedFile::from_text(&report.to_string());
+
+    assert_eq!(checked.faults, []);
+    assert_eq!(checked.configuration, configuration);
+}
+
+#[test]
+fn file_that_is_no_text_is_told_where() {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("no_text.toml");
+    std::fs::write(&path, b"a = 1\nb\xff").unwrap();
+
+    let error = CheckedFile::open(&path).unwrap_err();
+
+    assert!(
+        error
+            .to_string()
+            .contains("no_text.toml:2:2: the file is not UTF-8")
+    );
 }
 
 #[test]
