Go on at another daemon by the codes that the daemon sends

The client knew not_ready and leaving; the daemon says no_configuration and shutting_down, so that a request which one instance had turned away as not run was given up instead of tried at the next. A 503 of a shutdown that may have run is still not sent again.

A pull that describes its step and is told that the step is unknown now waits like any other failure; the driver pulled again at once before.

--- a/wisteriaford_client/src/client.rs
+++ b/wisteriaford_client/src/client.rs
@@ -129,7 +129,8 @@
     fn is_instance_unavailable(&self) -> bool {
         match self {
             Self::Refused { status, body, .. } => {
-                let of_instance = body.code == code::NOT_READY || body.code == code::LEAVING;
+                let of_instance = [code::NO_CONFIGURATION, code::SHUTTING_DOWN];
+                let of_instance = of_instance.contains(&body.code.as_str());
                 let not_run = body.outcome == Some(Outcome::NotRun);
                 *status == SERVICE_UNAVAILABLE_STATUS && of_instance && not_run
             }
--- a/wisteriaford_client/src/message.rs
+++ b/wisteriaford_client/src/message.rs
@@ -21,10 +21,10 @@
 
 /// Stable codes of errors that a client acts on.
 pub mod code {
-    /// The instance has no configuration yet, or does not take requests.
-    pub const NOT_READY: &str = "not_ready";
+    /// The instance has no configuration yet.
+    pub const NO_CONFIGURATION: &str = "no_configuration";
     /// The instance is shutting down.
-    pub const LEAVING: &str = "leaving";
+    pub const SHUTTING_DOWN: &str = "shutting_down";
     /// No instance knows the step and the pull brought no spec.
     pub const STEP_UNKNOWN: &str = "step_unknown";
     /// The instance does not know the request.
--- a/wisteriaford_client/src/trainer.rs
+++ b/wisteriaford_client/src/trainer.rs
@@ -137,7 +137,7 @@
                     backoff = FIRST_BACKOFF;
                     last = None;
                 }
-                Err(error) if error.code() == Some(code::STEP_UNKNOWN) => run.forgotten(),
+                Err(error) if is_forgotten(&request, &error) => run.forgotten(),
                 Err(error) if is_final(&error) => {
                     let source = Box::new(error);
                     return Err(TrainerError::Refused { source });
@@ -173,6 +173,11 @@
     }
 }
 
+/// Returns whether the step must be described again; not so where the pull described it.
+fn is_forgotten(request: &PullRequest, error: &ClientError) -> bool {
+    request.spec.is_none() && error.code() == Some(code::STEP_UNKNOWN)
+}
+
 /// Returns whether a pull fails in the same way however often it is sent.
 fn is_final(error: &ClientError) -> bool {
     match error {
--- a/wisteriaford_client/tests/client.rs
+++ b/wisteriaford_client/tests/client.rs
@@ -114,9 +114,17 @@
     r#"{"request_id":"r","text":"","tokens":0,"spans":[],"endpoint":"e","instance":"i"}"#,
 );
 const PULLED: Behaviour = Behaviour::Answers(200, r#"{"pull":3,"samples":[],"complete":false}"#);
-const LEAVING: Behaviour = Behaviour::Answers(
+const SHUTTING_DOWN: Behaviour = Behaviour::Answers(
     503,
-    r#"{"error":{"code":"leaving","message":"","outcome":"not_run"}}"#,
+    r#"{"error":{"code":"shutting_down","message":"","outcome":"not_run"}}"#,
+);
+const SHUT_DOWN_MEANWHILE: Behaviour = Behaviour::Answers(
+    503,
+    r#"{"error":{"code":"shutting_down","message":"","outcome":"outcome_unknown"}}"#,
+);
+const NO_CONFIGURATION: Behaviour = Behaviour::Answers(
+    503,
+    r#"{"error":{"code":"no_configuration","message":"","outcome":"not_run"}}"#,
 );
 const OVERLOADED: Behaviour = Behaviour::Answers(
     503,
@@ -125,7 +133,8 @@
 
 #[rstest]
 #[case(Behaviour::Refuses)]
-#[case(LEAVING)]
+#[case(SHUTTING_DOWN)]
+#[case(NO_CONFIGURATION)]
 fn generate_goes_on_where_nothing_ran(#[case] first: Behaviour) {
     let (client, transport) = fleet(&[first, GENERATED]);
 
@@ -139,6 +148,7 @@
 #[case(Behaviour::LosesAnswer, Outcome::OutcomeUnknown)]
 #[case(Behaviour::Answers(200, "{"), Outcome::OutcomeUnknown)]
 #[case(Behaviour::Answers(502, "gateway"), Outcome::OutcomeUnknown)]
+#[case(SHUT_DOWN_MEANWHILE, Outcome::OutcomeUnknown)]
 #[case(OVERLOADED, Outcome::NotRun)]
 fn generate_is_not_sent_twice(#[case] first: Behaviour, #[case] outcome: Outcome) {
     let (client, transport) = fleet(&[first, GENERATED]);
--- a/wisteriaford_client/tests/step.rs
+++ b/wisteriaford_client/tests/step.rs
@@ -307,6 +307,19 @@
     assert_eq!(service.pulls.len(), 1);
 }
 
+#[test]
+fn driver_waits_where_a_step_that_it_described_is_unknown() {
+    let unknown = || Err(refusal(409, "step_unknown", None));
+    let script = Script::from([unknown(), unknown(), Ok(vec![0, 1, 2, 3])]);
+
+    let (run, service, timer, result) = drive(script);
+
+    assert!(result.is_ok());
+    assert!(run.counts().is_clean());
+    assert_eq!(service.rotations, 2);
+    assert!(timer.elapsed > Duration::ZERO);
+}
+
 #[test]
 fn driver_stops_at_the_deadline() {
     let (run, _, timer, result) = drive(Script::new());
