Decide the right to run a keyed request by its first standing record in the log

Where a caller's second try meets a first that is still under way at another instance, only the log can tell who may run. A claim wins if no claim of its key stands when its record arrives, and that never changes after: nobody but the holder can end a claim, so no lease, clock or timeout is trusted, and a holder that pauses between check and send still runs alone. The price is that a holder that dies with an open claim leaves its key taken until the log forgets it; a second sender is then told `claim_unresolved`, outcome unknown.

Weighed: - Letting others abandon an open claim after its deadline frees keys of dead holders, but a paused holder may be between its check and its send. Ruled out. - Letting a loser win once the winner is abandoned: the loser's caller has its answer already, so the key would be blocked by nobody. A loser stays a loser, also when its record lands again. - Waiting for an append's answer: not needed, records are read back, and repeated with the same id until they are. - A record that lands after its claim was abandoned is dead in the fold, and its holder has forgotten it. - Age of a key: a key that says when it was made (UUID 7, or 13 digits and `-`) is refused once an earlier claim could be forgotten. Any other counts as new, so it is at most once within the log's retention only.

--- a/wisteriaford_core/src/id.rs
+++ b/wisteriaford_core/src/id.rs
@@ -132,6 +132,10 @@
     /// One try of a request at one endpoint, unique over the fleet.
     AttemptId
 }
+text_id! {
+    /// Claim of the right to run a keyed request, unique over the fleet and all time.
+    ClaimId
+}
 
 macro_rules! number_id {
     ($(#[$doc:meta])* $name:ident) => {
--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -4,6 +4,7 @@
 //! own: time and seeds are handed in, and what is to be done comes back as effects.
 
 pub mod admission;
+pub mod claim;
 pub mod hash;
 pub mod id;
 pub mod quarantine;
