Take loads and limits from running sums, and count only used grants as drained

Each admission added up the reports of all peers and each routing choice the changes of all candidates, which grows with the fleet. Both are now kept as sums. A grant that was withdrawn unused (the second of two asked stewards) counted as drained work and made the times to come back too short.

--- a/wisteriaford_core/src/admission.rs
+++ b/wisteriaford_core/src/admission.rs
@@ -140,12 +140,16 @@
     }
 
     /// Takes a grant or a waiting ask back; `tokens` is what the attempt really took.
+    ///
+    /// A grant that was withdrawn unused takes none and doesn't count as work that drained.
     pub fn release(&mut self, now: Timestamp, attempt: &AttemptId, tokens: u32) {
         self.remove_waiting(attempt);
         let Some(grant) = self.remove_grant(attempt) else {
             return;
         };
-        self.drain.note(now);
+        if tokens > 0 {
+            self.drain.note(now);
+        }
         let correction = grant.charged_tokens - i64::from(tokens);
         self.queue_mut(grant.priority)
             .settle(&grant.caller, correction);
--- a/wisteriaford_core/src/claim.rs
+++ b/wisteriaford_core/src/claim.rs
@@ -145,7 +145,8 @@
 
     /// Takes the next record of the log, of whatever kind; `at_ms` is the log's own time.
     ///
-    /// Records must come in order; a gap means that the log no longer has those between.
+    /// Records must come in order, from the first that the log still has: a start at a later one
+    /// would miss claims that stand. A gap means that the log no longer has those between.
     pub fn observe(&mut self, now: Timestamp, offset: Offset, at_ms: u64, kind: Option<&Kind>) {
         let Some(claim) = self.fold.observe(offset, at_ms, kind) else {
             return;
--- a/wisteriaford_core/src/limits.rs
+++ b/wisteriaford_core/src/limits.rs
@@ -61,6 +61,9 @@
     members: u64,
     own: IndexMap<CallerId, Own>,
     reports: IndexMap<InstanceId, Report>,
+    /// Sums of the reports.
+    heard_milli_per_s: IndexMap<CallerId, u64>,
+    oldest_report: Timestamp,
     rng: Pcg32,
 }
 
@@ -72,6 +75,8 @@
             members: 1,
             own: IndexMap::new(),
             reports: IndexMap::new(),
+            heard_milli_per_s: IndexMap::new(),
+            oldest_report: Timestamp::default(),
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -102,7 +107,10 @@
             at: now,
             demand_milli_per_s: demand.collect(),
         };
-        self.reports.insert(from.clone(), report);
+        self.add(&report);
+        if let Some(earlier) = self.reports.insert(from.clone(), report) {
+            self.subtract(&earlier);
+        }
         self.forget_aged(now);
     }
 
@@ -168,9 +176,8 @@
         if self.members > 1 && heard == 0 {
             return even;
         }
-        let demands = self.reports.values();
-        let demands = demands.filter_map(|report| report.demand_milli_per_s.get(caller));
-        let others = demands.sum::<u64>() * (self.members - 1) / heard.max(1);
+        let heard_milli_per_s = self.heard_milli_per_s.get(caller).copied().unwrap_or(0);
+        let others = heard_milli_per_s * (self.members - 1) / heard.max(1);
         let total = own.demand_milli_per_s + others;
         if total == 0 {
             return even;
@@ -184,9 +191,39 @@
         wait + wait * self.rng.random_range(0..=50) / 100
     }
 
+    fn add(&mut self, report: &Report) {
+        for (caller, demand) in &report.demand_milli_per_s {
+            *self.heard_milli_per_s.entry(caller.clone()).or_default() += demand;
+        }
+    }
+
+    fn subtract(&mut self, report: &Report) {
+        for (caller, demand) in &report.demand_milli_per_s {
+            let Some(sum) = self.heard_milli_per_s.get_mut(caller) else {
+                continue;
+            };
+            *sum -= demand;
+            if *sum == 0 {
+                self.heard_milli_per_s.swap_remove(caller);
+            }
+        }
+    }
+
+    /// Forgets reports that are too old, if the oldest may be.
     fn forget_aged(&mut self, now: Timestamp) {
-        self.reports
-            .retain(|_, report| now.since(report.at) < REPORT_MAX_AGE);
+        if now.since(self.oldest_report) < REPORT_MAX_AGE {
+            return;
+        }
+        let aged = self.reports.iter();
+        let aged = aged.filter(|(_, report)| now.since(report.at) >= REPORT_MAX_AGE);
+        let aged: Vec<_> = aged.map(|(id, _)| id.clone()).collect();
+        for id in aged {
+            if let Some(report) = self.reports.swap_remove(&id) {
+                self.subtract(&report);
+            }
+        }
+        let oldest = self.reports.values().map(|report| report.at).min();
+        self.oldest_report = oldest.unwrap_or(now);
     }
 }
 
--- a/wisteriaford_core/src/routing/load.rs
+++ b/wisteriaford_core/src/routing/load.rs
@@ -23,6 +23,8 @@
     pub(super) availability: Availability,
     reported: i64,
     changes: VecDeque<(Timestamp, i64)>,
+    /// Sum of the changes.
+    changed: i64,
 }
 
 impl Load {
@@ -36,9 +38,10 @@
         self.version = Version(state.version);
         self.availability = state.availability();
         self.reported = i64::from(state.in_flight) + i64::from(state.queued);
-        while let Some((at, _)) = self.changes.front()
+        while let Some((at, delta)) = self.changes.front()
             && now.since(*at) > REPORT_LAG
         {
+            self.changed -= delta;
             self.changes.pop_front();
         }
     }
@@ -46,16 +49,17 @@
     /// Counts a request that this entry sent (1) or that ended (-1).
     pub(super) fn change(&mut self, now: Timestamp, delta: i64) {
         self.changes.push_back((now, delta));
+        self.changed += delta;
         if self.changes.len() > MAX_CHANGES
             && let Some((_, oldest)) = self.changes.pop_front()
         {
+            self.changed -= oldest;
             self.reported += oldest;
         }
     }
 
     /// Returns requests in progress and waiting.
     pub(super) fn estimate(&self) -> u64 {
-        let own: i64 = self.changes.iter().map(|(_, delta)| delta).sum();
-        u64::try_from(self.reported + own).unwrap_or(0)
+        u64::try_from(self.reported + self.changed).unwrap_or(0)
     }
 }
