Refuse a claim id that was used, and abandon what was never dispatched

A claim that ended leaves its end under way to the log. If its id is used again, as when ids follow request ids that callers choose, that late end abandons the new claim for the fleet while its holder thinks it won, and a second one may run beside it. `begin` now refuses such an id with `claim_id_used`.

A request given up with its outcome unknown (an earlier attempt may run) ended its own claim as sent although it never was, which kept the key taken until the log forgot it. Its holder knows better: what wasn't dispatched is abandoned.

Both were found by reading the callers of the interface; the focused tests fail with each check off.

--- a/wisteriaford_core/src/claim.rs
+++ b/wisteriaford_core/src/claim.rs
@@ -116,9 +116,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the final answer if the key is taken, too old, or the log is needed and down.
+    /// Returns the final answer if the key is taken, too old, or the log is needed and down, or
+    /// if the id was used before: what is still under way for it could end this claim.
     pub fn begin(&mut self, now: Timestamp, request: ClaimRequest) -> Result<(), Refusal> {
         self.check_key(&request)?;
+        if self.own.contains_key(&request.claim) || self.fold.state(&request.claim).is_some() {
+            let refusal = refuse(RefusalReason::ClaimIdUsed, request.first_attempt);
+            return Err(refusal);
+        }
         if self.own.len() >= MAX_OWN_CLAIMS {
             let refusal = refuse(RefusalReason::QueueFull, request.first_attempt);
             return Err(refusal.with_retry_after(IN_USE_RETRY_AFTER));
@@ -198,12 +203,16 @@
 
     /// Ends a claim; its end is appended until it is read back.
     ///
-    /// [`ClaimEnd::NotRun`] also withdraws a claim that isn't decided yet.
+    /// A claim that wasn't dispatched is abandoned, whatever `end` says.
     pub fn finish(&mut self, now: Timestamp, claim: &ClaimId, end: ClaimEnd) {
-        let outcome = match end {
-            ClaimEnd::Answered => ClaimOutcome::Answered,
-            ClaimEnd::NotRun => ClaimOutcome::Abandoned,
-            ClaimEnd::Unknown => ClaimOutcome::Sent,
+        let stage = self.own.get(claim).map(|own| own.stage);
+        let outcome = match (stage, end) {
+            (Some(Stage::Ending(_)) | None, _) => return,
+            (Some(Stage::Pending | Stage::Won), _) | (_, ClaimEnd::NotRun) => {
+                ClaimOutcome::Abandoned
+            }
+            (Some(Stage::Dispatched), ClaimEnd::Answered) => ClaimOutcome::Answered,
+            (Some(Stage::Dispatched), ClaimEnd::Unknown) => ClaimOutcome::Sent,
         };
         self.end(now, claim, outcome);
     }
--- a/wisteriaford_core/src/refusal.rs
+++ b/wisteriaford_core/src/refusal.rs
@@ -75,6 +75,8 @@
         KeyAlreadyRun = "key_already_run",
         /// The claim of the key was not settled before the deadline.
         ClaimUnresolved = "claim_unresolved",
+        /// The request's id stood for an earlier claim.
+        ClaimIdUsed = "claim_id_used",
         /// The endpoint failed while it ran the request.
         EndpointFailed = "endpoint_failed",
         /// The retry budget of the pool is used up.
--- a/wisteriaford_core/tests/claim.rs
+++ b/wisteriaford_core/tests/claim.rs
@@ -205,6 +205,65 @@
     assert_eq!(claims.in_progress(), 0);
 }
 
+#[rstest]
+#[case::undecided(false, false, ClaimEnd::Unknown, ClaimOutcome::Abandoned)]
+#[case::won(true, false, ClaimEnd::Unknown, ClaimOutcome::Abandoned)]
+#[case::sent(true, true, ClaimEnd::Unknown, ClaimOutcome::Sent)]
+#[case::answered(true, true, ClaimEnd::Answered, ClaimOutcome::Answered)]
+#[case::proven_not_run(true, true, ClaimEnd::NotRun, ClaimOutcome::Abandoned)]
+fn end_of_a_claim_says_whether_it_was_sent(
+    #[case] decided: bool,
+    #[case] dispatched: bool,
+    #[case] end: ClaimEnd,
+    #[case] outcome: ClaimOutcome,
+) {
+    // Arrange
+    let mut claims = claims();
+    let mine = ClaimId::from("mine");
+    claims.begin(NOW, request("mine", "key")).unwrap();
+    poll(&mut claims, NOW);
+    if decided {
+        observe(&mut claims, &[claim_record("mine", "key")]);
+    }
+    poll(&mut claims, NOW);
+    assert_eq!(dispatched && claims.dispatch(NOW, &mine), dispatched);
+
+    // Act
+    claims.finish(NOW, &mine, end);
+    claims.finish(NOW, &mine, ClaimEnd::Answered);
+    let outputs = poll(&mut claims, NOW);
+
+    // Assert
+    let expected = ClaimResult {
+        claim_id: String::from("mine"),
+        outcome: outcome.into(),
+    };
+    assert_eq!(outputs, [ClaimOutput::AppendResult(expected)]);
+}
+
+#[test]
+fn id_of_an_earlier_claim_is_refused_also_after_its_end() {
+    // Arrange
+    let mut claims = claims();
+    let mine = ClaimId::from("mine");
+    claims.begin(NOW, request("mine", "key")).unwrap();
+    poll(&mut claims, NOW);
+
+    // Act
+    let twice = claims.begin(NOW, request("mine", "key"));
+    claims.finish(NOW, &mine, ClaimEnd::NotRun);
+    let ending = claims.begin(NOW, request("mine", "key"));
+    let abandoned = result_record("mine", ClaimOutcome::Abandoned);
+    observe(&mut claims, &[claim_record("mine", "key"), abandoned]);
+    let ended = claims.begin(NOW, request("mine", "key"));
+
+    // Assert
+    for refused in [twice, ending, ended] {
+        assert_eq!(refused.unwrap_err().reason, RefusalReason::ClaimIdUsed);
+    }
+    assert_eq!(claims.in_progress(), 0);
+}
+
 #[test]
 fn log_outage_is_met_as_the_route_says() {
     // Arrange
