--- a/wisteriaford_core/src/step/work.rs
+++ b/wisteriaford_core/src/step/work.rs
@@ -233,8 +233,10 @@
         context: &mut Context<'_>,
         index: u32,
         running: &RunningAttempt,
-        sample: FinishedSample,
+        mut sample: FinishedSample,
     ) {
+        // The driver knows the attempt alone, not how the step is divided.
+        sample.group = self.spec.as_ref().map_or(0, |spec| spec.group_of(index));
         let facts = self.facts(context);
         let bound = facts.staleness_bound_versions;
         let is_unlabelled = !sample.is_labelled() || sample.index != index;
