--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -138,10 +138,10 @@
 /// When things that are done at an interval are due next.
 #[derive(Clone, Copy, Debug, Default)]
 struct Timers {
-    heartbeat_at: Timestamp,
-    instances_at: Timestamp,
-    models_at: Timestamp,
-    exit_at: Option<Timestamp>,
+    next_heartbeat: Timestamp,
+    next_listing: Timestamp,
+    next_models: Timestamp,
+    exit: Option<Timestamp>,
 }
 
 impl Instance {
@@ -205,7 +205,8 @@
             Event::Polled(endpoint, result) => self.polled(now, &endpoint, result),
             Event::Ordered(endpoint, answer) => self.ordered(now, &endpoint, answer),
             Event::LogRead(stream, result) => self.log_read(now, stream, result),
-            Event::Appended(append, result) => self.appended(now, append, result),
+            // What was appended is read back, so nothing hangs on the answer.
+            Event::Appended(..) => {}
             Event::Listed(instances) => self.listed(&instances),
             Event::Announced(model, version) => self.announced(&model, version),
             Event::Scored(ticket, result) => {
@@ -249,10 +250,10 @@
             return;
         }
         if !self.requests.is_empty() || !self.steps.is_idle() {
-            self.timers.exit_at = None;
+            self.timers.exit = None;
             return;
         }
-        let exit_at = *self.timers.exit_at.get_or_insert(now + EXIT_PAUSE);
+        let exit_at = *self.timers.exit.get_or_insert(now + EXIT_PAUSE);
         if now >= exit_at {
             self.note(Note::ShutdownDone);
             self.effects.push(Effect::Exit);
--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -236,17 +236,17 @@
         self.membership.tick(now, &mut outputs);
         self.membership_outputs(now, outputs);
         self.place(now);
-        if now >= self.timers.heartbeat_at {
-            self.timers.heartbeat_at = now + HEARTBEAT_INTERVAL;
+        if now >= self.timers.next_heartbeat {
+            self.timers.next_heartbeat = now + HEARTBEAT_INTERVAL;
             self.heartbeat(now);
             self.spread(now);
         }
-        if now >= self.timers.instances_at {
-            self.timers.instances_at = now + INSTANCES_INTERVAL;
+        if now >= self.timers.next_listing {
+            self.timers.next_listing = now + INSTANCES_INTERVAL;
             self.effects.push(Effect::PollInstances);
         }
-        if now >= self.timers.models_at {
-            self.timers.models_at = now + MODELS_INTERVAL;
+        if now >= self.timers.next_models {
+            self.timers.next_models = now + MODELS_INTERVAL;
             self.poll_models();
         }
     }
--- a/wisteriaford_core/src/instance/log.rs
+++ b/wisteriaford_core/src/instance/log.rs
@@ -13,7 +13,6 @@
 use crate::event::LogRead;
 use crate::event::LogRecord;
 use crate::event::LogStream;
-use crate::id::Offset;
 use crate::note::Note;
 use crate::time::Timestamp;
 
@@ -131,13 +130,4 @@
         });
         append
     }
-
-    /// Takes the answer to an append; what was appended is read back, so nothing hangs on it.
-    pub(super) fn appended(
-        &mut self,
-        _now: Timestamp,
-        _append: AppendId,
-        _result: Result<Offset, LogFailure>,
-    ) {
-    }
 }
--- a/wisteriafordd/src/main.rs
+++ b/wisteriafordd/src/main.rs
@@ -113,7 +113,6 @@
     inputs: Sender<Input>,
 ) -> Result<(), StartError> {
     let settings = server::ServerSettings {
-        instance: arguments.instance_id.clone(),
         max_connections: arguments.max_connections as usize,
         max_body_bytes: arguments.max_body_bytes,
         identity: identity(arguments, Clock::start()),
--- a/wisteriafordd/src/server.rs
+++ b/wisteriafordd/src/server.rs
@@ -34,8 +34,6 @@
 /// Settings of the interface.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerSettings {
-    /// Name of this instance.
-    pub(crate) instance: String,
     /// Connections served at once.
     pub(crate) max_connections: usize,
     /// Longest body, in bytes.
@@ -132,12 +130,13 @@
 
     fn ask(&self, request: CallerRequest) -> Result<Response<Body>, Failure> {
         let (sender, receiver) = crossbeam::channel::bounded(1);
-        let input = Input::Caller(request.clone(), sender);
+        let asked = answer::Asked::from(&request);
+        let input = Input::Caller(request, sender);
         self.inputs.send(input).map_err(|_| Failure::ShutDown)?;
         let reply: Reply = receiver
             .recv_timeout(REPLY_TIMEOUT)
             .map_err(|_| Failure::ShutDown)?;
-        answer::of(reply, &request, &self.settings.identity)
+        answer::of(reply, &asked, &self.settings.identity)
     }
 
     fn read_json_body(&self, request: &mut Request<Body>) -> Result<Vec<u8>, Failure> {
--- a/wisteriafordd/src/server/answer.rs
+++ b/wisteriafordd/src/server/answer.rs
@@ -21,7 +21,6 @@
 use wisteriaford_core::event::CallerRequest;
 use wisteriaford_core::event::Identity;
 use wisteriaford_core::explain::Decision;
-use wisteriaford_core::id::RequestId;
 use wisteriaford_core::refusal::Refusal;
 use wisteriaford_core::refusal::RefusalReason;
 use wisteriaford_core::reply;
@@ -33,8 +32,27 @@
 use wisteriaford_core::step::FinishedSample;
 use wisteriaford_core::time::Timestamp;
 
+use crate::server::failure;
 use crate::server::failure::Failure;
 
+/// What an answer repeats of its request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Asked {
+    /// Request that is to be explained, or nothing.
+    explained: String,
+}
+
+impl From<&CallerRequest> for Asked {
+    fn from(request: &CallerRequest) -> Self {
+        match request {
+            CallerRequest::Explain(request) => Self {
+                explained: request.to_string(),
+            },
+            _ => Self::default(),
+        }
+    }
+}
+
 /// Returns an answer of plain text.
 pub(crate) fn text(text: &str) -> Response<Body> {
     with_type(StatusCode::OK, "text/plain", text.as_bytes().to_vec())
@@ -56,14 +74,14 @@
 /// Fails if the reply is a refusal.
 pub(crate) fn of(
     reply: Reply,
-    request: &CallerRequest,
+    asked: &Asked,
     identity: &Identity,
 ) -> Result<Response<Body>, Failure> {
     match reply {
         Reply::Generated(generated) => Ok(json(&generate_answer(generated, identity))),
         Reply::Called(called) => Ok(called_response(called, identity)),
         Reply::Pulled(pulled) => Ok(json(&pull_answer(pulled))),
-        Reply::Explained(decisions) => explained(decisions, request, identity),
+        Reply::Explained(decisions) => explained(decisions, asked, identity),
         Reply::Shares(shares) => Ok(json(&shares_answer(&shares, identity))),
         Reply::Status(status) => Ok(json(&status_answer(*status, identity))),
         Reply::Configuration(Some((revision, publication))) => Ok(json(&ConfigurationAnswer {
@@ -142,23 +160,19 @@
 
 fn explained(
     decisions: Option<Vec<(Timestamp, Decision)>>,
-    request: &CallerRequest,
+    asked: &Asked,
     identity: &Identity,
 ) -> Result<Response<Body>, Failure> {
     let Some(decisions) = decisions else {
         return Err(Failure::RequestUnknown);
     };
-    let request_id = match request {
-        CallerRequest::Explain(request) => RequestId::to_string(request),
-        _ => String::new(),
-    };
     let decisions = decisions.iter().map(|(at, decision)| DecisionAnswer {
         at_ms: at.as_millis(),
         kind: decision.kind().to_owned(),
         detail: decision.to_string(),
     });
     Ok(json(&ExplainAnswer {
-        request_id,
+        request_id: asked.explained.clone(),
         instance: identity.id.to_string(),
         decisions: decisions.collect(),
     }))
@@ -167,7 +181,7 @@
 fn shares_answer(shares: &[reply::CallerShare], identity: &Identity) -> SharesAnswer {
     let window_ms = shares
         .first()
-        .map_or(0, |share| share.window.as_millis() as u64);
+        .map_or(0, |share| failure::whole_ms(share.window));
     let callers = shares.iter().map(|share| CallerShare {
         caller: share.caller.to_string(),
         priority: share.priority.as_str_name().to_ascii_lowercase(),
@@ -196,12 +210,12 @@
             Some(false) => LogState::Down,
             None => LogState::Unknown,
         },
-        members: status.members.into_iter().map(member_status).collect(),
+        members: status.members.iter().map(member_status).collect(),
         endpoints: status.endpoints.into_iter().map(endpoint_status).collect(),
     }
 }
 
-fn member_status(member: reply::MemberStatus) -> MemberStatus {
+fn member_status(member: &reply::MemberStatus) -> MemberStatus {
     MemberStatus {
         id: member.id.to_string(),
         address: member.address.to_string(),
--- a/wisteriafordd/src/server/failure.rs
+++ b/wisteriafordd/src/server/failure.rs
@@ -80,7 +80,7 @@
                 code: self.code().to_owned(),
                 message: self.to_string(),
                 outcome: self.outcome(),
-                retry_after_ms: self.retry_after().map(|time| time.as_millis() as u64),
+                retry_after_ms: self.retry_after().map(whole_ms),
                 request_id: self.request().map(ToString::to_string),
             },
         };
@@ -159,6 +159,11 @@
     }
 }
 
+/// Returns a duration in whole milliseconds.
+pub(crate) fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn status_of(reason: RefusalReason) -> StatusCode {
     match reason {
         RefusalReason::UnknownCaller => StatusCode::FORBIDDEN,
