Add placement, leases and the append budget

Cause: duties need an instance each without messages between instances, orders need a fencing number that outlives an outage of the log, and appends need a ceiling over the whole fleet.

Ways weighed. Placement: a ring with virtual nodes (more state, moves more at small sizes) against rendezvous hashing over the view; the latter. A step's keeper prefers another zone of the owner's region. Leases: a record that counts only if it names the lease in force, against the latest record. The first was tried and dropped: an instance that reads the end of the log alone can't know the lease in force, takes the loser of a race for its holder, and two views of one lease stay apart for good. Two stewards that contest wait longer each time. Budget: a shared counter in the log (costs appends itself) against an equal part for each instance in the view. Claims above copies of the configuration was weighed too; a steady load of claims would then starve the few copies without which the log forgets what is in force.

Conclusion: three deterministic modules that need no message of their own.

--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -4,6 +4,7 @@
 //! own: time and seeds are handed in, and what is to be done comes back as effects.
 
 pub mod admission;
+pub mod budget;
 pub mod configuration;
 pub mod counters;
 pub mod effect;
@@ -13,8 +14,10 @@
 pub mod id;
 pub mod index_set;
 pub mod label;
+pub mod lease;
 pub mod membership;
 pub mod note;
+pub mod placement;
 pub mod refusal;
 pub mod reply;
 pub mod settings;
--- /dev/null
+++ b/wisteriaford_core/tests/lease.rs
@@ -0,0 +1,173 @@
+//! Leases: races, lost answers, a dropped log and a log that is down.
+
+use std::time::Duration;
+
+use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::Fence;
+use wisteriaford_core::id::InstanceId;
+use wisteriaford_core::id::Offset;
+use wisteriaford_core::lease::LeaseChange;
+use wisteriaford_core::lease::Leases;
+use wisteriaford_core::lease::MAX_RETRY_AFTER;
+use wisteriaford_core::lease::RETRY_AFTER;
+use wisteriaford_core::time::Timestamp;
+
+fn engine() -> EndpointId {
+    EndpointId::from("engine-1")
+}
+
+fn leases(id: &str) -> Leases {
+    Leases::new(InstanceId::from(id), 1)
+}
+
+const START: Timestamp = Timestamp::from_millis(1_000);
+
+#[test]
+fn offset_is_the_fencing_number() {
+    let mut a = leases("a");
+    let lease = a.take(START, &engine()).unwrap();
+    let before = a.fence_of(&engine());
+    a.appended(&lease.append_id, Offset(7));
+
+    let change = a.apply(Offset(7), &lease);
+
+    assert_eq!(before, None);
+    let endpoint = engine();
+    let fence = Fence(7);
+    assert_eq!(change, Some(LeaseChange::Taken { endpoint, fence }));
+    assert_eq!(a.fence_of(&engine()), Some(Fence(7)));
+    assert_eq!(a.take(START, &engine()), None);
+}
+
+#[test]
+fn later_of_two_that_race_holds_it_and_both_agree() {
+    let mut a = leases("a");
+    let mut b = leases("b");
+    let of_a = a.take(START, &engine()).unwrap();
+    let of_b = b.take(START, &engine()).unwrap();
+
+    let changes: Vec<_> = [&mut a, &mut b]
+        .into_iter()
+        .flat_map(|leases| {
+            [
+                leases.apply(Offset(1), &of_a),
+                leases.apply(Offset(2), &of_b),
+            ]
+        })
+        .flatten()
+        .collect();
+
+    let endpoint = engine();
+    let by = InstanceId::from("b");
+    let fence = Fence(1);
+    assert!(changes.contains(&LeaseChange::Superseded {
+        endpoint,
+        fence,
+        by
+    }));
+    assert_eq!(a.fence_of(&engine()), None);
+    assert_eq!(b.fence_of(&engine()), Some(Fence(2)));
+    assert_eq!(a.held(&engine()), b.held(&engine()));
+}
+
+#[test]
+fn lost_answer_is_resolved_by_reading_back() {
+    let mut a = leases("a");
+    let lease = a.take(START, &engine()).unwrap();
+    a.answer_lost(&lease.append_id);
+    let open = a.is_open(&engine());
+    let too_early = a.take(START, &engine());
+
+    a.apply(Offset(3), &lease);
+
+    assert!(open);
+    assert_eq!(too_early, None);
+    assert!(!a.is_open(&engine()));
+    assert_eq!(a.fence_of(&engine()), Some(Fence(3)));
+}
+
+#[test]
+fn repeated_record_raises_the_fence() {
+    let mut a = leases("a");
+    let first = a.take(START, &engine()).unwrap();
+    a.answer_lost(&first.append_id);
+    let second = a.take(START + RETRY_AFTER, &engine()).unwrap();
+
+    a.apply(Offset(3), &first);
+    a.apply(Offset(4), &second);
+
+    assert_ne!(first.append_id, second.append_id);
+    assert_eq!(a.fence_of(&engine()), Some(Fence(4)));
+}
+
+#[test]
+fn holder_keeps_its_lease_while_the_log_is_down() {
+    let mut a = leases("a");
+    let lease = a.take(START, &engine()).unwrap();
+    a.apply(Offset(1), &lease);
+    let hour_later = START + Duration::from_secs(3_600);
+
+    let taken = a.take(hour_later, &engine());
+
+    assert_eq!(taken, None);
+    assert_eq!(a.fence_of(&engine()), Some(Fence(1)));
+}
+
+#[test]
+fn holder_that_was_paused_learns_that_it_was_superseded() {
+    let mut a = leases("a");
+    let mut b = leases("b");
+    let of_a = a.take(START, &engine()).unwrap();
+    a.apply(Offset(1), &of_a);
+    b.apply(Offset(1), &of_a);
+    let of_b = b.take(START, &engine()).unwrap();
+    b.apply(Offset(2), &of_b);
+
+    a.apply(Offset(2), &of_b);
+    let again = a.apply(Offset(1), &of_a);
+
+    assert_eq!(of_b.supersedes, 1);
+    assert_eq!(a.fence_of(&engine()), None);
+    assert_eq!(again, None);
+}
+
+#[test]
+fn end_of_the_log_gives_the_same_lease_as_the_whole() {
+    let mut whole = leases("a");
+    let mut end = leases("b");
+    let mut writer = leases("c");
+    let mut racer = leases("d");
+    let first = writer.take(START, &engine()).unwrap();
+    let second = racer.take(START, &engine()).unwrap();
+
+    whole.apply(Offset(1), &first);
+    whole.apply(Offset(2), &second);
+    end.apply(Offset(2), &second);
+
+    assert_eq!(whole.held(&engine()), end.held(&engine()));
+}
+
+#[test]
+fn contest_slows_down() {
+    let mut a = leases("a");
+    let mut b = leases("b");
+    let mut now = START;
+    let mut offset = Offset(0);
+    let mut appends = 0;
+    while now < START + Duration::from_secs(600) {
+        now = now + Duration::from_millis(100);
+        for lease in [a.take(now, &engine()), b.take(now, &engine())]
+            .into_iter()
+            .flatten()
+        {
+            offset = offset.next();
+            appends += 1;
+            a.apply(offset, &lease);
+            b.apply(offset, &lease);
+        }
+    }
+
+    let slowest = u32::try_from(600 / MAX_RETRY_AFTER.as_secs()).unwrap();
+    assert!(appends <= 2 * (2 * slowest + 8), "{appends} appends");
+    assert!(appends > 4);
+}
--- /dev/null
+++ b/wisteriaford_core/tests/placement.rs
@@ -0,0 +1,122 @@
+//! Duties move as little as possible.
+
+use wisteriaford_core::id::AvailabilityZone;
+use wisteriaford_core::id::CallerId;
+use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::InstanceId;
+use wisteriaford_core::id::Region;
+use wisteriaford_core::id::StepKey;
+use wisteriaford_core::id::StepNumber;
+use wisteriaford_core::placement::Candidate;
+use wisteriaford_core::placement::EndpointPlace;
+use wisteriaford_core::placement::Placement;
+use wisteriaford_core::placement::Rendezvous;
+use wisteriaford_proto::settings::EndpointKind;
+
+const ZONES: usize = 5;
+const INSTANCES: usize = 40;
+
+fn candidate(index: usize) -> Candidate {
+    let zone = index % ZONES;
+    Candidate {
+        id: InstanceId::from(format!("instance-{index}")),
+        address: format!("10.0.0.{index}:7000").into(),
+        availability_zone: AvailabilityZone::from(format!("zone-{zone}")),
+        region: Region::from(format!("region-{}", zone / 3)),
+    }
+}
+
+fn placement(without: impl Fn(&Candidate) -> bool) -> Rendezvous {
+    let candidates = (0..INSTANCES).map(candidate);
+    Rendezvous::new(candidates.filter(|c| !without(c)).collect())
+}
+
+fn place(index: usize) -> EndpointPlace {
+    let zone = index % ZONES;
+    EndpointPlace {
+        id: EndpointId::from(format!("engine-{index}")),
+        kind: EndpointKind::ModelEngine,
+        availability_zone: AvailabilityZone::from(format!("zone-{zone}")),
+        region: Region::from(format!("region-{}", zone / 3)),
+    }
+}
+
+fn step(number: u64) -> StepKey {
+    StepKey {
+        trainer: CallerId::from("trainer"),
+        number: StepNumber(number),
+    }
+}
+
+#[test]
+fn steward_is_in_the_zone_then_the_region_then_anywhere() {
+    for endpoint in (0..100).map(place) {
+        let all = placement(|_| false);
+        let zone_lost = placement(|c| c.availability_zone == endpoint.availability_zone);
+        let region_lost = placement(|c| c.region == endpoint.region);
+
+        let zone = &all.steward(&endpoint).unwrap().availability_zone;
+        assert_eq!(*zone, endpoint.availability_zone);
+        let region = &zone_lost.steward(&endpoint).unwrap().region;
+        // A region of one zone alone is lost with it.
+        let alone = !zone_lost
+            .candidates()
+            .iter()
+            .any(|c| c.region == endpoint.region);
+        assert!(*region == endpoint.region || alone);
+        assert!(region_lost.steward(&endpoint).is_some());
+    }
+    assert!(placement(|_| true).steward(&place(0)).is_none());
+}
+
+#[test]
+fn loss_of_one_instance_moves_its_duties_alone() {
+    let before = placement(|_| false);
+    let lost = InstanceId::from("instance-7");
+    let after = placement(|c| c.id == lost);
+
+    for endpoint in (0..600).map(place) {
+        let held = before.steward(&endpoint).unwrap();
+        if held.id != lost {
+            assert_eq!(after.steward(&endpoint), Some(held));
+        }
+    }
+    for step in (0..600).map(step) {
+        let owner = before.owner(&step).unwrap();
+        if owner.id != lost {
+            assert_eq!(after.owner(&step), Some(owner));
+        }
+    }
+}
+
+#[test]
+fn order_of_the_view_does_not_matter() {
+    let forward = placement(|_| false);
+    let mut candidates = forward.candidates().to_vec();
+    candidates.reverse();
+    let backward = Rendezvous::new(candidates);
+
+    for endpoint in (0..100).map(place) {
+        assert_eq!(forward.steward(&endpoint), backward.steward(&endpoint));
+    }
+}
+
+#[test]
+fn keeper_is_in_another_zone_of_the_region() {
+    let placement = placement(|_| false);
+
+    for step in (0..200).map(step) {
+        let owner = placement.owner(&step).unwrap();
+        let keeper = placement.keeper(&step).unwrap();
+        assert_ne!(owner.availability_zone, keeper.availability_zone);
+        assert_eq!(owner.region, keeper.region);
+    }
+}
+
+#[test]
+fn lone_instance_owns_and_has_no_keeper() {
+    let alone = placement(|c| c.id.as_str() != "instance-3");
+
+    assert!(alone.owner(&step(1)).is_some());
+    assert_eq!(alone.keeper(&step(1)), None);
+}
