--- a/wisteriaford_core/src/membership/gossip.rs
+++ b/wisteriaford_core/src/gossip.rs
@@ -1,30 +1,37 @@
 //! Changes that ride on messages, each a bounded number of times.
 
-use indexmap::IndexMap;
+use std::hash::Hash;
 
-use crate::id::InstanceId;
+use indexmap::IndexMap;
 
 const RETRANSMIT_FACTOR: u32 = 4;
 
-/// Queue of members whose change is still to be spread.
-#[derive(Default)]
-pub(super) struct Gossip {
-    sent: IndexMap<InstanceId, u32>,
+/// Queue of keys whose state is still to be spread.
+pub(crate) struct Gossip<K> {
+    sent: IndexMap<K, u32>,
+}
+
+impl<K> Default for Gossip<K> {
+    fn default() -> Self {
+        Self {
+            sent: IndexMap::new(),
+        }
+    }
 }
 
-impl Gossip {
-    /// Spreads the state of a member anew.
-    pub(super) fn push(&mut self, id: InstanceId) {
-        self.sent.insert(id, 0);
+impl<K: Clone + Eq + Hash> Gossip<K> {
+    /// Spreads the state of a key anew.
+    pub(crate) fn push(&mut self, key: K) {
+        self.sent.insert(key, 0);
     }
 
-    /// Forgets a member.
-    pub(super) fn remove(&mut self, id: &InstanceId) {
-        self.sent.swap_remove(id);
+    /// Forgets a key.
+    pub(crate) fn remove(&mut self, key: &K) {
+        self.sent.swap_remove(key);
     }
 
-    /// Takes up to `limit` members, those sent least often first.
-    pub(super) fn take(&mut self, limit: usize, members: usize) -> Vec<InstanceId> {
+    /// Takes up to `limit` keys, those sent least often first, in a fleet of so many members.
+    pub(crate) fn take(&mut self, limit: usize, members: usize) -> Vec<K> {
         let mut order: Vec<(u32, usize)> = self
             .sent
             .values()
@@ -35,9 +42,9 @@
         order.truncate(limit);
         let mut taken = Vec::with_capacity(order.len());
         for &(_, place) in &order {
-            if let Some((id, sent)) = self.sent.get_index_mut(place) {
+            if let Some((key, sent)) = self.sent.get_index_mut(place) {
                 *sent += 1;
-                taken.push(id.clone());
+                taken.push(key.clone());
             }
         }
         let limit = retransmit_limit(members);
--- a/wisteriaford_core/src/membership.rs
+++ b/wisteriaford_core/src/membership.rs
@@ -20,7 +20,6 @@
 use self::allowance::Allowance;
 pub use self::allowance::BURST_BYTES;
 pub use self::allowance::BYTES_PER_S;
-use self::gossip::Gossip;
 use self::health::Health;
 pub use self::member::Member;
 pub use self::member::MemberState;
@@ -30,11 +29,11 @@
 pub use self::output::MembershipOutput;
 pub use self::output::Sender;
 use self::ring::Ring;
+use crate::gossip::Gossip;
 use crate::id::InstanceId;
 use crate::time::Timestamp;
 
 mod allowance;
-mod gossip;
 mod health;
 mod member;
 mod output;
@@ -88,7 +87,7 @@
     entries: IndexMap<InstanceId, Entry>,
     contacts: IndexMap<CompactString, Option<InstanceId>>,
     random: Pcg64,
-    gossip: Gossip,
+    gossip: Gossip<InstanceId>,
     health: Health,
     allowance: Allowance,
     in_zone: Ring,
