Exchange the fleet's state by gossip within bounds

Cause: entries need the state of endpoints, crashes with their requests, versions of models, use by callers and the revision in force, at 420 instances without any all-to-all, also while the log is down.

Ways weighed. Sums of use by callers: an accountant for each caller (its inbound grows with the fleet), push-sum averaging (loses mass with each lost message), or the mean over the peers heard of at random in the last seconds; the last. Reports of load for each poll would cost more than the whole allowance at 600 endpoints, so the fleet spreads 30 a second, and changes of version or availability at once. The content of a configuration goes only to who asks, four a round for each instance.

Conclusion: bounded fan-out and bytes, and no message that only one instance can answer.

--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod counters;
 pub mod effect;
 pub mod event;
+pub mod exchange;
 pub mod explain;
 mod gossip;
 pub mod hash;
