--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -5,11 +5,14 @@
 
 pub mod admission;
 pub mod claim;
+pub mod budget;
 pub mod configuration;
 pub mod counters;
 pub mod effect;
 pub mod event;
+pub mod exchange;
 pub mod explain;
+mod gossip;
 pub mod hash;
 pub mod id;
 pub mod index_set;
@@ -25,6 +28,13 @@
 pub mod request;
 pub mod retry;
 pub mod routing;
+pub mod lease;
+pub mod membership;
+pub mod note;
+pub mod placement;
+pub mod refusal;
+pub mod reply;
+pub mod rollout;
 pub mod settings;
 pub mod shares;
 pub mod step;
