Give late heartbeats time at a new steward, and wake only for what is ahead

A new steward waited one heartbeat interval exactly. An entry that renewed just before the move reports one interval and the way there later, so the steward could grant slots that were in use. It now waits one and a half.

`next_wakeup` named that time also once it was past, on which a driver that sleeps until then spins. Setting an endpoint's unchanged state went through the whole queue at each poll.

--- a/wisteriaford_core/src/admission.rs
+++ b/wisteriaford_core/src/admission.rs
@@ -59,7 +59,8 @@
 pub struct SlotQueue {
     settings: QueueSettings,
     weights: IndexMap<CallerId, u32>,
-    grants_from: Timestamp,
+    /// When grants may begin; none once that time is past.
+    grants_from: Option<Timestamp>,
     version: Version,
     availability: Availability,
     waiting: IndexMap<AttemptId, Waiting>,
@@ -79,12 +80,12 @@
 impl SlotQueue {
     /// Returns the queue of a steward that took the endpoint over at `now`.
     ///
-    /// It grants nothing for one heartbeat interval, in which the entries report their grants.
+    /// It grants nothing until every entry had time to report its grants.
     /// `seed` spreads the times to come back.
     #[must_use]
     pub fn new(now: Timestamp, settings: QueueSettings, seed: u64) -> Self {
         Self {
-            grants_from: now + settings.heartbeat_interval,
+            grants_from: Some(now + settings.rebuild_time()),
             settings,
             weights: IndexMap::new(),
             version: Version(0),
@@ -174,6 +175,9 @@
 
     /// Takes what the endpoint reported; asks that it can't run any more are denied.
     pub fn set_endpoint(&mut self, version: Version, availability: Availability) {
+        if (self.version, self.availability) == (version, availability) {
+            return;
+        }
         self.version = version;
         self.availability = availability;
         let unfit: Vec<_> = self
@@ -207,7 +211,10 @@
     /// Ends what is past its time, grants what can be granted and appends all that to `outputs`.
     pub fn poll(&mut self, now: Timestamp, outputs: &mut Vec<QueueOutput>) {
         self.end_expired(now);
-        if now >= self.grants_from && self.availability == Availability::Serving {
+        self.grants_from = self.grants_from.filter(|&from| now < from);
+        let seen = self.interactive_seen;
+        self.interactive_seen = seen.filter(|&at| now.since(at) < RESERVE_WINDOW);
+        if self.grants_from.is_none() && self.availability == Availability::Serving {
             while self.grant_next(now) {}
         }
         outputs.append(&mut self.outputs);
@@ -230,11 +237,12 @@
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let deadline = self.deadlines.first().map(|(at, _)| *at);
         let expiry = self.expiries.first().map(|(at, _)| *at);
-        let grace = (!self.waiting.is_empty()).then_some(self.grants_from);
+        let has_waiting = !self.waiting.is_empty();
+        let rebuilt = self.grants_from.filter(|_| has_waiting);
         let reserve = (self.batch.len() > 0)
             .then(|| self.interactive_seen.map(|at| at + RESERVE_WINDOW))
             .flatten();
-        [deadline, expiry, grace, reserve]
+        [deadline, expiry, rebuilt, reserve]
             .into_iter()
             .flatten()
             .min()
@@ -373,7 +381,7 @@
         {
             return self.grant(now, &attempt);
         }
-        let Some(priority) = self.next_priority(now) else {
+        let Some(priority) = self.next_priority() else {
             return false;
         };
         let queue = self.queue_mut(priority);
@@ -393,7 +401,7 @@
     ///
     /// While the endpoint drains for an ask that must run alone, no batch work starts; other
     /// interactive work goes on, since one suspect must not make interactive callers late.
-    fn next_priority(&self, now: Timestamp) -> Option<Priority> {
+    fn next_priority(&self) -> Option<Priority> {
         let free = self.settings.slots.saturating_sub(self.grants.len());
         if free == 0 {
             return None;
@@ -402,13 +410,12 @@
         if self.interactive.len() > 0 && (below_cap || self.batch.len() == 0) {
             return Some(Priority::Interactive);
         }
-        let batch_may_start = self.draining.is_empty() && free > self.reserved(now);
+        let batch_may_start = self.draining.is_empty() && free > self.reserved();
         (self.batch.len() > 0 && batch_may_start).then_some(Priority::Batch)
     }
 
-    fn reserved(&self, now: Timestamp) -> usize {
-        let seen = self.interactive_seen;
-        let seen_lately = seen.is_some_and(|at| now.since(at) < RESERVE_WINDOW);
+    fn reserved(&self) -> usize {
+        let seen_lately = self.interactive_seen.is_some();
         let below_cap = self.interactive_in_flight < self.settings.interactive_cap();
         usize::from(seen_lately && below_cap && self.settings.slots > 1)
     }
--- a/wisteriaford_core/src/admission/types.rs
+++ b/wisteriaford_core/src/admission/types.rs
@@ -38,6 +38,13 @@
         (self.slots * percent).div_ceil(100)
     }
 
+    /// Returns how long a new steward waits for heartbeats: one interval, and half of one for
+    /// those that are late.
+    #[must_use]
+    pub fn rebuild_time(&self) -> Duration {
+        self.heartbeat_interval * 3 / 2
+    }
+
     /// Returns how long a grant lasts without a heartbeat.
     #[must_use]
     pub fn ttl(&self) -> Duration {
