--- a/wisteriaford_core/src/routing.rs
+++ b/wisteriaford_core/src/routing.rs
@@ -134,7 +134,10 @@
         known.leaving = leaving;
     }
 
-    /// Counts a request that this entry sent to an endpoint.
+    /// Counts a request that this entry sends to an endpoint or lets wait there.
+    ///
+    /// Call it when the ask for a slot goes out, so that a burst doesn't follow one report, and
+    /// [`Self::note_released`] once when that ask is denied, withdrawn or its request ended.
     pub fn note_granted(&mut self, now: Timestamp, endpoint: &EndpointId) {
         let known = self.known.entry(endpoint.clone()).or_default();
         known.load.change(now, 1);
