Put gossip, leases, paced rollout, limits and shares into the instance

The bounded exchange takes the place of the broadcast that stood in for it; suspects ride on its messages. Load is counted from the ask on, an endpoint that was not polled yet keeps its asks waiting, and slots are renewed at once when stewards move. A refusal of a keyed request that is not marked as the first attempt says outcome_unknown, since an earlier one may still win.

--- a/wisteriaford_core/src/event.rs
+++ b/wisteriaford_core/src/event.rs
@@ -277,7 +277,7 @@
 pub struct LogRead {
     /// Oldest offset that the log still keeps.
     pub first_offset: Offset,
-    /// Offset after the last record read.
+    /// Offset that the next record appended will get.
     pub next_offset: Offset,
     /// Records, in the order of their offsets.
     pub records: Vec<LogRecord>,
--- a/wisteriaford_core/src/exchange.rs
+++ b/wisteriaford_core/src/exchange.rs
@@ -439,6 +439,7 @@
                 };
                 let age_ms = now.since(*seen_at).as_millis();
                 message.suspects.push(Suspect {
+                    cleared: false,
                     fingerprint: *fingerprint,
                     crash: crash.to_string(),
                     age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod log;
 mod requests;
+mod rollouts;
 mod status;
 mod steps;
 
@@ -20,25 +21,28 @@
 use derive_more::Display;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
-use wisteriaford_proto::fleet::EndpointState;
 
+use crate::budget::AppendBudget;
 use crate::claim::ClaimSettings;
 use crate::claim::Claims;
 use crate::configuration::Fold;
 use crate::counters::Counters;
 use crate::effect::Effect;
+use crate::event::AppendId;
 use crate::event::Event;
 use crate::event::Identity;
 use crate::event::Ticket;
+use crate::exchange::Exchange;
 use crate::explain::Explanations;
 use crate::id::AttemptId;
 use crate::id::ClaimId;
 use crate::id::EndpointId;
 use crate::id::InstanceId;
-use crate::id::ModelId;
+use crate::id::PoolId;
 use crate::id::RequestId;
 use crate::id::Revision;
-use crate::id::Version;
+use crate::lease::Leases;
+use crate::limits::Limits;
 use crate::membership::Member;
 use crate::membership::MemberState;
 use crate::membership::Membership;
@@ -48,8 +52,10 @@
 use crate::reply::Reply;
 use crate::request::Active;
 use crate::retry::RetryPolicy;
+use crate::rollout::Rollout;
 use crate::routing::Router;
 use crate::settings::Settings;
+use crate::shares::Shares;
 use crate::step::Steps;
 use crate::steward::Stewards;
 use crate::time::Timestamp;
@@ -62,6 +68,12 @@
 const CLAIM_RETENTION: Duration = Duration::from_secs(3_600);
 /// Largest difference between the clocks of callers and of the log.
 const CLOCK_SKEW: Duration = Duration::from_secs(30);
+/// Appends a second that the whole fleet may send to the log.
+const APPENDS_PER_S: u64 = 200;
+/// Appends that one instance may send at once.
+const APPEND_BURST: u64 = 50;
+/// Window over which the shares of the callers are counted.
+const SHARES_WINDOW: Duration = Duration::from_secs(60);
 /// Claims of the whole fleet that are remembered.
 const MAX_CLAIMS: usize = 500_000;
 /// Longest time between two ticks.
@@ -111,7 +123,12 @@
     placement: Rendezvous,
     stewards_of: IndexMap<EndpointId, InstanceId>,
     is_placed: bool,
-    endpoint_states: IndexMap<EndpointId, EndpointState>,
+    exchange: Exchange,
+    leases: Leases,
+    leases_read: bool,
+    lease_appends: IndexMap<AppendId, String>,
+    rollouts: IndexMap<PoolId, Rollout>,
+    budget: AppendBudget,
     log_up: Option<bool>,
     stewards: Stewards,
     requests: IndexMap<RequestId, Active>,
@@ -119,11 +136,12 @@
     router: Router,
     retries: RetryPolicy,
     quarantine: Quarantine,
+    limits: Limits,
+    shares: Shares,
     claims: Claims,
     claims_of: IndexMap<RequestId, ClaimId>,
     claimants: IndexMap<ClaimId, RequestId>,
     steps: Steps,
-    versions: IndexMap<ModelId, Version>,
     leaving_endpoints: IndexSet<EndpointId>,
     explanations: Explanations,
     counters: Counters,
@@ -132,6 +150,7 @@
     attempt_sequence: u64,
     request_sequence: u64,
     append_sequence: u64,
+    claim_sequence: u64,
     is_leaving: bool,
 }
 
@@ -165,19 +184,25 @@
             placement: Rendezvous::default(),
             stewards_of: IndexMap::new(),
             is_placed: false,
-            endpoint_states: IndexMap::new(),
+            exchange: Exchange::new(identity.id.clone(), identity.incarnation, seed),
+            leases: Leases::new(identity.id.clone(), identity.incarnation.0),
+            leases_read: false,
+            lease_appends: IndexMap::new(),
+            rollouts: IndexMap::new(),
+            budget: AppendBudget::new(APPENDS_PER_S, APPEND_BURST, Timestamp::default()),
             log_up: None,
-            stewards: Stewards::new(identity.id.clone(), seed),
+            stewards: Stewards::new(seed),
             requests: IndexMap::new(),
             attempts: IndexMap::new(),
             router: Router::new(identity.availability_zone.clone()),
             retries: RetryPolicy::new(seed),
             quarantine: Quarantine::new(SUSPECT_RETENTION),
+            limits: Limits::new(seed),
+            shares: Shares::new(SHARES_WINDOW),
             claims: Claims::new(identity.id.clone(), &claim_settings()),
             claims_of: IndexMap::new(),
             claimants: IndexMap::new(),
             steps: Steps::default(),
-            versions: IndexMap::new(),
             leaving_endpoints: IndexSet::new(),
             explanations: Explanations::default(),
             counters: Counters::default(),
@@ -186,6 +211,7 @@
             attempt_sequence: 0,
             request_sequence: 0,
             append_sequence: 0,
+            claim_sequence: 0,
             is_leaving: false,
             identity,
             options,
@@ -205,10 +231,9 @@
             Event::Polled(endpoint, result) => self.polled(now, &endpoint, result),
             Event::Ordered(endpoint, answer) => self.ordered(now, &endpoint, answer),
             Event::LogRead(stream, result) => self.log_read(now, stream, result),
-            // What was appended is read back, so nothing hangs on the answer.
-            Event::Appended(..) => {}
+            Event::Appended(append, result) => self.appended(append, result),
             Event::Listed(instances) => self.listed(&instances),
-            Event::Announced(model, version) => self.announced(&model, version),
+            Event::Announced(model, version) => self.announced(now, &model, version),
             Event::Scored(ticket, result) => {
                 self.with_steps(now, |steps, view, out| {
                     steps.scored(now, ticket, result, view, out);
--- a/wisteriaford_core/src/instance/callers.rs
+++ b/wisteriaford_core/src/instance/callers.rs
@@ -8,6 +8,7 @@
 use wisteriaford_proto::settings::Priority;
 
 use super::Instance;
+use super::SHARES_WINDOW;
 use crate::event::CallerRequest;
 use crate::event::Ticket;
 use crate::id::CallerId;
@@ -137,7 +138,10 @@
                 self.reply(ticket, Reply::Explained(decisions));
             }
             CallerRequest::Shares => {
-                self.reply(ticket, Reply::Shares(Vec::new()));
+                let callers = &self.settings.callers;
+                let shares = self.shares.report(now, callers);
+                let window = SHARES_WINDOW;
+                self.reply(ticket, Reply::Shares { window, shares });
             }
             CallerRequest::Status => {
                 let status = Box::new(self.status());
@@ -194,7 +198,7 @@
 
     /// Checks a request against the settings and the limits, then begins it.
     fn take_in(&mut self, now: Timestamp, ticket: Ticket, terms: Terms) {
-        if let Err(refusal) = self.check_terms(&terms) {
+        if let Err(refusal) = self.check_terms(now, &terms) {
             self.turn_away(ticket, terms.request, refusal);
             return;
         }
@@ -227,7 +231,7 @@
         self.begin(now, active);
     }
 
-    fn check_terms(&mut self, terms: &Terms) -> Result<(), Refusal> {
+    fn check_terms(&mut self, now: Timestamp, terms: &Terms) -> Result<(), Refusal> {
         self.check_open()?;
         if !self.settings.callers.contains_key(&terms.caller) {
             return Err(Refusal::not_run(RefusalReason::UnknownCaller));
@@ -243,7 +247,7 @@
         if terms.request.as_ref().is_some_and(is_taken) {
             return Err(Refusal::not_run(RefusalReason::KeyInUse));
         }
-        Ok(())
+        self.limits.admit(now, &terms.caller)
     }
 
     /// Checks that this instance takes requests at all.
--- a/wisteriaford_core/src/instance/claims.rs
+++ b/wisteriaford_core/src/instance/claims.rs
@@ -5,11 +5,11 @@
 
 use super::Instance;
 use super::callers::route_of;
+use crate::budget::AppendKind;
 use crate::claim::ClaimEnd;
 use crate::claim::ClaimKey;
 use crate::claim::ClaimOutput;
 use crate::claim::ClaimRequest;
-use crate::event::LogStream;
 use crate::explain::Decision;
 use crate::id::ClaimId;
 use crate::id::RequestId;
@@ -28,6 +28,7 @@
             self.open_claimed(now, request);
             return;
         }
+        self.claim_sequence += 1;
         let Some(active) = self.requests.get(request) else {
             return;
         };
@@ -53,8 +54,7 @@
         };
         let route = self.settings.routes.get(route_of(&active.request.work)?)?;
         let me = &self.identity;
-        let request = &active.request.id;
-        let id = format_compact!("{}.{}.{request}", me.id, me.incarnation);
+        let id = format_compact!("{}.{}.{}", me.id, me.incarnation, self.claim_sequence);
         Some(ClaimRequest {
             claim: ClaimId::from(id.as_str()),
             key: ClaimKey {
@@ -76,10 +76,10 @@
         for output in outputs {
             match output {
                 ClaimOutput::AppendClaim(claim) => {
-                    self.append(LogStream::Claims, Kind::Claim(claim));
+                    self.append(now, AppendKind::Claim, Kind::Claim(claim));
                 }
                 ClaimOutput::AppendResult(result) => {
-                    self.append(LogStream::Claims, Kind::ClaimResult(result));
+                    self.append(now, AppendKind::ClaimResult, Kind::ClaimResult(result));
                 }
                 ClaimOutput::Won(claim) => {
                     if let Some(request) = self.claimants.get(&claim).cloned() {
--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -9,7 +9,6 @@
 use wisteriaford_proto::admission::SlotRefusalReason;
 use wisteriaford_proto::admission::admission_message::Body as AdmissionBody;
 use wisteriaford_proto::fleet::Availability;
-use wisteriaford_proto::fleet::EndpointState;
 use wisteriaford_proto::fleet::FleetMessage;
 use wisteriaford_proto::peer::PeerMessage;
 use wisteriaford_proto::peer::peer_message::Body;
@@ -23,14 +22,11 @@
 use crate::counters::Counter;
 use crate::effect::Effect;
 use crate::event::EndpointReport;
-use crate::event::OrderAnswer;
 use crate::event::PollFailure;
+use crate::exchange::ExchangeOutput;
 use crate::id::AttemptId;
 use crate::id::EndpointId;
-use crate::id::Fence;
 use crate::id::InstanceId;
-use crate::id::ModelId;
-use crate::id::Version;
 use crate::membership::ListedInstance;
 use crate::membership::ListedState;
 use crate::membership::MemberState;
@@ -239,8 +235,10 @@
         if now >= self.timers.next_heartbeat {
             self.timers.next_heartbeat = now + HEARTBEAT_INTERVAL;
             self.heartbeat(now);
-            self.spread(now);
+            self.republish(now);
         }
+        self.spread(now);
+        self.tick_rollouts(now);
         if now >= self.timers.next_listing {
             self.timers.next_listing = now + INSTANCES_INTERVAL;
             self.effects.push(Effect::PollInstances);
@@ -266,6 +264,11 @@
         }
         self.is_placed = true;
         self.placement = self.membership.alive().collect();
+        let instances = self.placement.candidates().len();
+        self.budget.set_instances(now, instances);
+        self.limits.set_members(instances);
+        // A new steward hears at once of what runs, so that it may grant soon.
+        self.timers.next_heartbeat = now;
         let settings = self.settings.clone();
         self.stewards_of = settings
             .endpoints
@@ -283,6 +286,8 @@
         for endpoint in settings.endpoints.keys() {
             self.take_endpoint(now, endpoint);
         }
+        let stewards = &self.stewards;
+        self.leases.retain(|endpoint| stewards.holds(endpoint));
     }
 
     fn take_endpoint(&mut self, now: Timestamp, endpoint: &EndpointId) {
@@ -350,55 +355,77 @@
         self.place(now);
     }
 
-    /// Spreads the state of the endpoints looked after, and the revision in force.
+    /// Spreads what changed to a few of the others.
     fn spread(&mut self, now: Timestamp) {
         let endpoints: Vec<EndpointId> = self.stewards.endpoints().cloned().collect();
-        let states = endpoints.iter().filter_map(|id| self.stewards.state(id));
-        let states: Vec<_> = states.collect();
-        for state in &states {
-            self.router.report(now, state);
-            self.take_state(state);
+        for endpoint in endpoints {
+            self.report_endpoint(now, &endpoint);
         }
-        let message = FleetMessage {
-            revision: self.fold.revision().0,
-            wants_configuration: false,
-            configuration: self
-                .fold
-                .current()
-                .map(crate::configuration::InForce::republication)
-                .into_iter()
-                .collect(),
-            endpoints: states,
-            suspects: self.quarantine.updates(now),
-            callers: Vec::new(),
-            models: Vec::new(),
+        let alive = self.membership.alive();
+        let others = alive.filter(|member| member.id != self.identity.id);
+        let peers: Vec<Sender> = others
+            .map(|member| Sender {
+                id: member.id.clone(),
+                address: member.address.clone(),
+            })
+            .collect();
+        let revision = self.fold.revision();
+        let mut outputs = Vec::new();
+        self.exchange.report_use(self.limits.uses(now));
+        self.exchange.tick(now, &peers, revision, &mut outputs);
+        self.exchange_outputs(now, outputs);
+    }
+
+    fn report_endpoint(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        let Some(state) = self.stewards.state(endpoint) else {
+            return;
         };
-        let alive = self.membership.alive().map(|member| member.id.clone());
-        for member in alive.collect::<Vec<_>>() {
-            if member != self.identity.id {
-                self.send(&member, Body::Fleet(message.clone()));
-            }
+        self.exchange.report_endpoint(now, state);
+        if let Some(state) = self.exchange.endpoint(endpoint) {
+            self.router.report(now, state);
         }
     }
 
-    fn fleet_message(&mut self, now: Timestamp, _from: &Sender, message: &FleetMessage) {
-        for state in &message.endpoints {
-            self.router.report(now, state);
-            self.take_state(state);
+    fn exchange_outputs(&mut self, now: Timestamp, outputs: Vec<ExchangeOutput>) {
+        for output in outputs {
+            match output {
+                ExchangeOutput::Send { to, mut message } => {
+                    message.suspects = self.quarantine.updates(now);
+                    let message = self.envelope(Body::Fleet(message));
+                    self.effects.push(Effect::Send {
+                        to: to.id,
+                        address: to.address,
+                        message,
+                    });
+                }
+                ExchangeOutput::Offered(copy) => {
+                    // A copy that is not taken is no news, or the fold counts what is wrong.
+                    if self.fold.offer(&copy).is_ok() {
+                        self.adopt(now, "peer");
+                    }
+                }
+                ExchangeOutput::Endpoint(state) => {
+                    self.router.report(now, &state);
+                    self.report_engine(now, &state);
+                }
+                ExchangeOutput::Suspect(_) => {}
+                ExchangeOutput::Model { model, version } => self.announced(now, &model, version),
+            }
         }
+    }
+
+    fn fleet_message(&mut self, now: Timestamp, from: &Sender, message: &FleetMessage) {
         for suspect in &message.suspects {
             self.quarantine.merge(now, suspect);
         }
-        if let Some(copy) = message.configuration.first()
-            && self.fold.offer(copy).is_ok()
-        {
-            self.adopt("peer");
+        if message.says_use {
+            self.limits.merge(now, &from.id, &message.callers);
         }
-    }
-
-    fn take_state(&mut self, state: &EndpointState) {
-        let endpoint = EndpointId::from(state.endpoint.as_str());
-        self.endpoint_states.insert(endpoint, state.clone());
+        let mut outputs = Vec::new();
+        let current = self.fold.current().cloned();
+        self.exchange
+            .handle(now, from, message, current.as_ref(), &mut outputs);
+        self.exchange_outputs(now, outputs);
     }
 
     /// Returns the steward of an endpoint as this instance sees it.
@@ -414,7 +441,7 @@
 
     /// Returns the availability that an endpoint was last said to have.
     pub(super) fn availability_of(&self, endpoint: &EndpointId) -> Option<Availability> {
-        let state = self.endpoint_states.get(endpoint)?;
+        let state = self.exchange.endpoint(endpoint)?;
         Some(state.availability())
     }
 
@@ -424,7 +451,7 @@
         endpoints
             .filter_map(|id| self.settings.endpoints.get(id))
             .filter_map(|endpoint| {
-                let state = self.endpoint_states.get(&endpoint.id)?;
+                let state = self.exchange.endpoint(&endpoint.id)?;
                 let is_serving = state.availability() == Availability::Serving;
                 let taken = (state.in_flight + state.queued) as usize;
                 is_serving.then(|| endpoint.slots.saturating_sub(taken))
@@ -440,48 +467,7 @@
         result: Result<EndpointReport, PollFailure>,
     ) {
         self.stewards.polled(now, endpoint, result);
-        self.order(endpoint);
-    }
-
-    /// Orders an endpoint to reach the newest version of its model.
-    fn order(&mut self, endpoint: &EndpointId) {
-        let Some(report) = self.stewards.report(endpoint) else {
-            return;
-        };
-        let settings = &self.settings;
-        let pool = settings.pool_of(endpoint);
-        let Some(model) = pool.and_then(|pool| pool.model.as_ref()) else {
-            return;
-        };
-        let Some(&version) = self.versions.get(model) else {
-            return;
-        };
-        if report.version >= version || report.loading_version >= version {
-            return;
-        }
-        let Some(address) = self.address_of(endpoint) else {
-            return;
-        };
-        let fence = Fence(1);
-        self.counters.add(Counter::Orders, 1);
-        self.effects.push(Effect::Order {
-            endpoint: endpoint.clone(),
-            address,
-            fence,
-            version,
-        });
-    }
-
-    /// Takes the answer of an endpoint to an order.
-    pub(super) fn ordered(&mut self, _now: Timestamp, endpoint: &EndpointId, answer: OrderAnswer) {
-        if answer == OrderAnswer::Fenced {
-            self.counters.add(Counter::OrdersFenced, 1);
-            let endpoint = endpoint.clone();
-            self.note(Note::OrderFenced {
-                endpoint,
-                fence: Fence(1),
-            });
-        }
+        self.engine_polled(now, endpoint);
     }
 
     /// Takes the platform's list of instances.
@@ -497,22 +483,4 @@
             }
         }
     }
-
-    fn poll_models(&mut self) {
-        let models = self.settings.pools.values();
-        let models: Vec<ModelId> = models.filter_map(|pool| pool.model.clone()).collect();
-        for model in models {
-            self.effects.push(Effect::PollModel(model));
-        }
-    }
-
-    /// Takes the newest version of a model.
-    pub(super) fn announced(&mut self, model: &ModelId, version: Version) {
-        let known = self.versions.entry(model.clone()).or_default();
-        if version > *known {
-            *known = version;
-            let model = model.clone();
-            self.note(Note::VersionAnnounced { model, version });
-        }
-    }
 }
--- a/wisteriaford_core/src/instance/log.rs
+++ b/wisteriaford_core/src/instance/log.rs
@@ -5,6 +5,9 @@
 use wisteriaford_proto::record::record::Kind;
 
 use super::Instance;
+use crate::budget::Admission;
+use crate::budget::AppendKind;
+use crate::configuration::Retention;
 use crate::configuration::Verdict;
 use crate::counters::Counter;
 use crate::effect::Effect;
@@ -13,9 +16,17 @@
 use crate::event::LogRead;
 use crate::event::LogRecord;
 use crate::event::LogStream;
+use crate::id::Offset;
+use crate::lease::LeaseChange;
 use crate::note::Note;
 use crate::time::Timestamp;
 
+/// Shortest time that the log keeps the records of the configuration.
+const CONFIGURATION_RETENTION: Retention = Retention {
+    age_ms: 3_600_000,
+    records: 10_000,
+};
+
 impl Instance {
     /// Takes what was read of a stream of the log.
     pub(super) fn log_read(
@@ -34,8 +45,13 @@
         for record in &read.records {
             self.record(now, stream, record);
         }
-        if stream == LogStream::Configuration {
-            self.adopt("log");
+        let end = read.records.last().map(|record| record.offset.next());
+        match stream {
+            LogStream::Configuration => self.adopt(now, "log"),
+            LogStream::Leases => {
+                self.leases_read |= end.is_none_or(|end| end >= read.next_offset);
+            }
+            LogStream::Claims => {}
         }
     }
 
@@ -64,7 +80,22 @@
                 let kind = decoded.kind.as_ref();
                 self.claims.observe(now, record.offset, record.at_ms, kind);
             }
-            LogStream::Leases => {}
+            LogStream::Leases => self.lease_record(record.offset, &decoded),
+        }
+    }
+
+    fn lease_record(&mut self, offset: Offset, decoded: &Record) {
+        let Some(Kind::Lease(lease)) = &decoded.kind else {
+            return;
+        };
+        match self.leases.apply(offset, lease) {
+            Some(LeaseChange::Taken { endpoint, fence }) => {
+                self.note(Note::LeaseTaken { endpoint, fence });
+            }
+            Some(LeaseChange::Superseded { endpoint, by, .. }) => {
+                self.note(Note::LeaseLost { endpoint, to: by });
+            }
+            None => {}
         }
     }
 
@@ -97,7 +128,7 @@
     }
 
     /// Puts the revision that the fold gives in force, if it is another one.
-    pub(super) fn adopt(&mut self, source: &'static str) {
+    pub(super) fn adopt(&mut self, now: Timestamp, source: &'static str) {
         let Some(current) = self.fold.current() else {
             return;
         };
@@ -114,20 +145,68 @@
             .retain(|endpoint| endpoints.contains_key(endpoint));
         let pools = &self.settings.pools;
         self.retries.retain(|pool| pools.contains_key(pool));
+        self.limits.configure(now, &self.settings.callers);
+        self.configure_rollouts(now);
         self.note(Note::RevisionInForce { revision, source });
     }
 
-    /// Appends a record to a stream of the log.
-    pub(super) fn append(&mut self, stream: LogStream, kind: Kind) -> AppendId {
+    /// Appends a record to the stream of its kind, unless the budget holds it back.
+    ///
+    /// Returns the number of the append. What is held back is tried again by whoever needs it.
+    pub(super) fn append(
+        &mut self,
+        now: Timestamp,
+        append_kind: AppendKind,
+        kind: Kind,
+    ) -> Option<AppendId> {
+        if self.budget.admit(now, append_kind) != Admission::Send {
+            self.counters.add(Counter::AppendsShed, 1);
+            return None;
+        }
         self.append_sequence += 1;
         let append = AppendId(self.append_sequence);
         self.counters.add(Counter::Appends, 1);
+        let stream = match append_kind {
+            AppendKind::Republication => LogStream::Configuration,
+            AppendKind::Claim | AppendKind::ClaimResult => LogStream::Claims,
+            AppendKind::Lease => LogStream::Leases,
+        };
         let record = Record { kind: Some(kind) };
         self.effects.push(Effect::Append {
             append,
             stream,
             record,
         });
-        append
+        Some(append)
+    }
+
+    /// Takes the answer to an append; claims and copies are read back, only leases need it.
+    pub(super) fn appended(&mut self, append: AppendId, result: Result<Offset, LogFailure>) {
+        if matches!(
+            result,
+            Err(LogFailure::NotReached | LogFailure::RateLimited)
+        ) {
+            self.budget.give_back();
+        }
+        let Some(lease) = self.lease_appends.swap_remove(&append) else {
+            return;
+        };
+        match result {
+            Ok(offset) => self.leases.appended(&lease, offset),
+            Err(LogFailure::AnswerLost) => self.leases.answer_lost(&lease),
+            Err(LogFailure::NotReached | LogFailure::RateLimited) => self.leases.refused(&lease),
+        }
+    }
+
+    /// Appends a copy of the revision in force before the log forgets the last one.
+    pub(super) fn republish(&mut self, now: Timestamp) {
+        if self.log_up != Some(true) {
+            return;
+        }
+        let now_ms = now.as_millis();
+        let Some(copy) = self.fold.due_republication(now_ms, CONFIGURATION_RETENTION) else {
+            return;
+        };
+        self.append(now, AppendKind::Republication, Kind::Republication(copy));
     }
 }
--- a/wisteriaford_core/src/instance/requests.rs
+++ b/wisteriaford_core/src/instance/requests.rs
@@ -61,6 +61,9 @@
     pub(super) fn begin(&mut self, now: Timestamp, active: Active) {
         let request = active.request.id.clone();
         self.counters.add(Counter::Requests, 1);
+        let expected = active.request.work.expected_tokens();
+        self.shares
+            .note_demand(now, &active.request.caller, expected);
         self.explanations.add(now, &request, Decision::Accepted);
         self.requests.insert(request.clone(), active);
         self.ask(now, &request);
@@ -130,6 +133,7 @@
         let Choice { endpoint, reason } = choice;
         let steward = self.steward_of(&endpoint)?;
         let attempt = self.new_attempt(request);
+        self.router.note_granted(now, &endpoint);
         let decision = Decision::Asked {
             endpoint: endpoint.clone(),
             steward: steward.clone(),
@@ -183,7 +187,9 @@
         tokens: u32,
         failed: bool,
     ) {
-        self.attempts.swap_remove(attempt);
+        if self.attempts.swap_remove(attempt).is_some() {
+            self.router.note_released(now, endpoint);
+        }
         let Some(steward) = self.steward_of(endpoint) else {
             return;
         };
@@ -220,7 +226,6 @@
         for ask in asks.iter().filter(|ask| ask.attempt != attempt) {
             self.release(now, &ask.attempt, &ask.endpoint, 0, false);
         }
-        self.router.note_granted(now, &endpoint);
         self.dispatch(now, &request, attempt, endpoint);
     }
 
@@ -373,6 +378,7 @@
         let ask = asks.remove(place);
         let is_last = asks.is_empty();
         self.attempts.swap_remove(attempt);
+        self.router.note_released(now, &ask.endpoint);
         if !is_last {
             return;
         }
@@ -414,14 +420,15 @@
 
     /// Returns a refusal that says truly whether the request may have run.
     pub(super) fn refusal_of(&self, request: &RequestId, reason: RefusalReason) -> Refusal {
-        let may_have_run = self
-            .requests
-            .get(request)
-            .is_some_and(|active| active.may_have_run);
-        if may_have_run {
-            Refusal::outcome_unknown(reason)
-        } else {
-            Refusal::not_run(reason)
+        let outcome = match self.requests.get(request) {
+            Some(active) if active.may_have_run => Outcome::OutcomeUnknown,
+            Some(active) => active.unsent_outcome(),
+            None => Outcome::NotRun,
+        };
+        Refusal {
+            reason,
+            outcome,
+            retry_after: None,
         }
     }
 
@@ -574,6 +581,9 @@
         self.counters.add(Counter::Answers, 1);
         self.quarantine.note_completed(active.fingerprint);
         self.retries.note_success(now, &active.request.pool);
+        let tokens = active.partial.tokens().max(1);
+        self.shares
+            .note_received(now, &active.request.caller, tokens);
         let decision = Decision::Answered {
             endpoint: running.endpoint.clone(),
         };
@@ -591,6 +601,7 @@
         let running = self.requests.get(request)?.holding()?.clone();
         let active = self.requests.shift_remove(request)?;
         self.give_back(now, &active, &running, failed);
+        self.limits.finish(&active.request.caller);
         Some((active, running))
     }
 
@@ -599,7 +610,6 @@
             Work::Generate(_) => running.tokens,
             Work::Call(_) => 1,
         };
-        self.router.note_released(now, &running.endpoint);
         self.release(now, &running.attempt, &running.endpoint, tokens, failed);
     }
 
@@ -671,7 +681,10 @@
                     active.phase = Phase::BackingOff(at);
                 }
             }
-            RetryDecision::GiveUp(refusal) => {
+            RetryDecision::GiveUp(mut refusal) => {
+                if refusal.outcome == Outcome::NotRun {
+                    refusal.outcome = active.unsent_outcome();
+                }
                 if let Some(active) = self.requests.get_mut(request) {
                     // The slot was given back above.
                     active.phase = Phase::BackingOff(now);
@@ -699,6 +712,7 @@
             return;
         };
         self.stop(now, &active);
+        self.limits.finish(&active.request.caller);
         self.claim_refused(now, request, refusal.outcome);
         self.counters.refused(refusal.reason);
         let decision = Decision::Refused(refusal);
@@ -723,6 +737,7 @@
             return;
         };
         self.stop(now, &active);
+        self.limits.finish(&active.request.caller);
         let wasted = u64::from(active.partial.tokens());
         self.counters.add(Counter::WastedTokens, wasted);
         self.explanations.add(now, request, Decision::Cancelled);
--- a/wisteriaford_core/src/instance/steps.rs
+++ b/wisteriaford_core/src/instance/steps.rs
@@ -116,6 +116,12 @@
     }
 
     fn start_sample(&mut self, now: Timestamp, start: Start) {
+        let trainer = start.attempt.key.trainer.clone();
+        if let Err(refusal) = self.limits.admit(now, &trainer) {
+            self.counters.refused(refusal.reason);
+            self.sample_finished(now, &start.attempt, Err(SampleFailure::Refused));
+            return;
+        }
         let id = sample_request(&self.identity.id, &start.attempt);
         let work = Work::Generate(Generation {
             prompt: Arc::from(start.prompt),
--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -4,8 +4,8 @@
 //! own: time and seeds are handed in, and what is to be done comes back as effects.
 
 pub mod admission;
-pub mod claim;
 pub mod budget;
+pub mod claim;
 pub mod configuration;
 pub mod counters;
 pub mod effect;
@@ -18,6 +18,7 @@
 pub mod index_set;
 pub mod instance;
 pub mod label;
+pub mod lease;
 pub mod limits;
 pub mod membership;
 pub mod note;
@@ -27,14 +28,8 @@
 pub mod reply;
 pub mod request;
 pub mod retry;
-pub mod routing;
-pub mod lease;
-pub mod membership;
-pub mod note;
-pub mod placement;
-pub mod refusal;
-pub mod reply;
 pub mod rollout;
+pub mod routing;
 pub mod settings;
 pub mod shares;
 pub mod step;
--- a/wisteriaford_core/src/note.rs
+++ b/wisteriaford_core/src/note.rs
@@ -2,7 +2,6 @@
 
 use serde::Serialize;
 
-use crate::event::LogStream;
 use crate::id::EndpointId;
 use crate::id::Fence;
 use crate::id::InstanceId;
@@ -151,9 +150,3 @@
     /// The instance finished everything and exits.
     ShutdownDone,
 }
-
-impl From<LogStream> for &'static str {
-    fn from(stream: LogStream) -> Self {
-        stream.name()
-    }
-}
--- a/wisteriaford_core/src/reply.rs
+++ b/wisteriaford_core/src/reply.rs
@@ -4,11 +4,9 @@
 
 use compact_str::CompactString;
 use wisteriaford_proto::record::Publication;
-use wisteriaford_proto::settings::Priority;
 use wisteriaford_proto::step::VersionSpan;
 
 use crate::explain::Decision;
-use crate::id::CallerId;
 use crate::id::EndpointId;
 use crate::id::InstanceId;
 use crate::id::PoolId;
@@ -16,6 +14,7 @@
 use crate::id::Revision;
 use crate::id::Version;
 use crate::refusal::Refusal;
+use crate::shares::CallerShare;
 use crate::step::PullAnswer;
 use crate::time::Timestamp;
 
@@ -31,7 +30,12 @@
     /// Decisions about a request; none if the instance does not know it.
     Explained(Option<Vec<(Timestamp, Decision)>>),
     /// Shares of the callers.
-    Shares(Vec<CallerShare>),
+    Shares {
+        /// Length of the window that they are counted over.
+        window: Duration,
+        /// Share of each caller.
+        shares: Vec<CallerShare>,
+    },
     /// State of the instance.
     Status(Box<Status>),
     /// Configuration in force, if there is one.
@@ -70,23 +74,6 @@
     pub endpoint: EndpointId,
 }
 
-/// What a caller was entitled to and what it received, at this instance.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CallerShare {
-    /// Caller.
-    pub caller: CallerId,
-    /// Urgency.
-    pub priority: Priority,
-    /// Length of the window.
-    pub window: Duration,
-    /// Tokens that it was entitled to.
-    pub entitled_tokens: u64,
-    /// Tokens that it received.
-    pub received_tokens: u64,
-    /// Stable code of why it received less.
-    pub shortfall: Option<&'static str>,
-}
-
 /// State of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Status {
--- a/wisteriaford_core/src/request.rs
+++ b/wisteriaford_core/src/request.rs
@@ -4,6 +4,7 @@
 use wisteriaford_proto::settings::Priority;
 use wisteriaford_proto::step::VersionSpan;
 
+use crate::claim;
 use crate::event::Ticket;
 use crate::id::AttemptId;
 use crate::id::EndpointId;
@@ -13,9 +14,11 @@
 use crate::label::Label;
 use crate::label::LabelError;
 use crate::label::Span;
+use crate::refusal::Outcome;
 use crate::step::SampleAttempt;
 use crate::time::Timestamp;
 use crate::work::Request;
+use crate::work::Work;
 
 /// Who waits for the answer of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -158,6 +161,20 @@
         }
     }
 
+    /// Returns what a refusal says if this request was never sent.
+    ///
+    /// An earlier request with the same key may have run, so only one that its caller marked as
+    /// the first attempt is proven not to have run.
+    #[must_use]
+    pub fn unsent_outcome(&self) -> Outcome {
+        match &self.request.work {
+            Work::Call(call) if call.key.is_some() && !self.idempotent => {
+                claim::unsent_outcome(call.first_attempt)
+            }
+            Work::Call(_) | Work::Generate(_) => Outcome::NotRun,
+        }
+    }
+
     /// Returns the attempt that holds a slot, whether it was sent or not.
     #[must_use]
     pub fn holding(&self) -> Option<&Running> {
--- a/wisteriaford_core/src/steward.rs
+++ b/wisteriaford_core/src/steward.rs
@@ -75,6 +75,9 @@
     Reached(EndpointId, Version),
 }
 
+/// Cause of the state in which asks wait until a new steward knows the endpoint.
+const NOT_POLLED: &str = "not polled yet";
+
 /// Fingerprint of a request that waits for a slot or holds one.
 struct Known {
     fingerprint: Fingerprint,
@@ -98,22 +101,18 @@
 
 /// Endpoints that this instance looks after.
 pub struct Stewards {
-    me: InstanceId,
     seed: u64,
     endpoints: IndexMap<EndpointId, Stewarded>,
-    sequence: u64,
     outputs: Vec<StewardOutput>,
 }
 
 impl Stewards {
     /// Returns a steward of nothing.
     #[must_use]
-    pub fn new(me: InstanceId, seed: u64) -> Self {
+    pub fn new(seed: u64) -> Self {
         Self {
-            me,
             seed,
             endpoints: IndexMap::new(),
-            sequence: 0,
             outputs: Vec::new(),
         }
     }
@@ -315,18 +314,20 @@
         outputs.append(&mut self.outputs);
     }
 
-    /// Returns the state of an endpoint to be spread, with a sequence of its own.
-    pub fn state(&mut self, endpoint: &EndpointId) -> Option<EndpointState> {
+    /// Returns the state of an endpoint to be spread, once it was polled.
+    #[must_use]
+    pub fn state(&self, endpoint: &EndpointId) -> Option<EndpointState> {
         let stewarded = self.endpoints.get(endpoint)?;
-        self.sequence += 1;
-        Some(EndpointState {
+        let is_known = stewarded.report.is_some() || stewarded.silent_polls > 0;
+        is_known.then(|| EndpointState {
             endpoint: endpoint.to_string(),
             version: stewarded.version().0,
             in_flight: u32::try_from(stewarded.queue.in_flight()).unwrap_or(u32::MAX),
             queued: u32::try_from(stewarded.queue.queued()).unwrap_or(u32::MAX),
             availability: stewarded.availability.into(),
-            sequence: self.sequence,
-            steward: self.me.to_string(),
+            // The exchange sets both.
+            sequence: 0,
+            steward: String::new(),
         })
     }
 }
@@ -348,8 +349,8 @@
             silent_polls: 0,
             is_leaving: false,
             report: None,
-            availability: Availability::Down,
-            cause: "not polled yet",
+            availability: Availability::Swapping,
+            cause: NOT_POLLED,
         }
     }
 
@@ -451,7 +452,7 @@
         } else if self.is_leaving {
             (Availability::EndpointLeaving, self.cause)
         } else if self.report.is_none() {
-            (Availability::Down, "not polled yet")
+            (Availability::Swapping, NOT_POLLED)
         } else {
             (Availability::Serving, "answers polls")
         };
--- a/wisteriaford_core/tests/exchange.rs
+++ b/wisteriaford_core/tests/exchange.rs
@@ -184,6 +184,7 @@
     world.loses_one_in = Some(5);
     let model = ModelId::from("fixer");
     let crash = Suspect {
+        cleared: false,
         fingerprint: 7,
         crash: "engine-3/1".to_owned(),
         age_ms: 0,
--- a/wisteriafordd/src/server/answer.rs
+++ b/wisteriafordd/src/server/answer.rs
@@ -1,5 +1,7 @@
 //! Answers to callers, written from the replies of the core.
 
+use std::time::Duration;
+
 use oxhttp::model::Body;
 use oxhttp::model::Response;
 use oxhttp::model::StatusCode;
@@ -28,6 +30,7 @@
 use wisteriaford_core::reply::Generated;
 use wisteriaford_core::reply::Reply;
 use wisteriaford_core::reply::Status;
+use wisteriaford_core::shares;
 use wisteriaford_core::step;
 use wisteriaford_core::step::FinishedSample;
 use wisteriaford_core::time::Timestamp;
@@ -82,7 +85,7 @@
         Reply::Called(called) => Ok(called_response(called, identity)),
         Reply::Pulled(pulled) => Ok(json(&pull_answer(pulled))),
         Reply::Explained(decisions) => explained(decisions, asked, identity),
-        Reply::Shares(shares) => Ok(json(&shares_answer(&shares, identity))),
+        Reply::Shares { window, shares } => Ok(json(&shares_answer(window, &shares, identity))),
         Reply::Status(status) => Ok(json(&status_answer(*status, identity))),
         Reply::Configuration(Some((revision, publication))) => Ok(json(&ConfigurationAnswer {
             revision: revision.0,
@@ -178,20 +181,21 @@
     }))
 }
 
-fn shares_answer(shares: &[reply::CallerShare], identity: &Identity) -> SharesAnswer {
-    let window_ms = shares
-        .first()
-        .map_or(0, |share| failure::whole_ms(share.window));
+fn shares_answer(
+    window: Duration,
+    shares: &[shares::CallerShare],
+    identity: &Identity,
+) -> SharesAnswer {
     let callers = shares.iter().map(|share| CallerShare {
         caller: share.caller.to_string(),
         priority: share.priority.as_str_name().to_ascii_lowercase(),
         entitled_tokens: share.entitled_tokens,
         received_tokens: share.received_tokens,
-        shortfall_reason: share.shortfall.map(str::to_owned),
+        shortfall_reason: share.shortfall_reason.map(|reason| reason.to_string()),
     });
     SharesAnswer {
         instance: identity.id.to_string(),
-        window_ms,
+        window_ms: failure::whole_ms(window),
         callers: callers.collect(),
     }
 }
--- a/wisteriafordd/src/worker.rs
+++ b/wisteriafordd/src/worker.rs
@@ -218,7 +218,8 @@
         let read = platform::read_log(&addresses.log, stream, from, addresses.silence_timeout);
         let failed = read.is_err();
         if let Ok(read) = &read {
-            from = read.next_offset.max(Offset(1));
+            let last = read.records.last().map(|record| record.offset.next());
+            from = last.unwrap_or(from.max(read.first_offset));
         }
         let event = Event::LogRead(stream, read);
         if inputs.send(Input::Event(event)).is_err() {
