Let a whole fleet join at once

Cause: 420 instances that start together from two seeds took 87.6 s of virtual time until all saw all (a trial): the seeds' byte allowance bounds whole views, who got none asked the same two again, and 12 updates a message spread 420 arrivals slowly.

Ways weighed: a larger allowance for seeds (they are instances like others and share the limit of 23 KB/s); a few members in place of a refusal, so that the next question goes to others; up to 48 updates a message while the allowance is half full; an early next view while views still bring members. The last three together.

Switched off by hand, each of the three made that one fail.

--- a/wisteriaford_core/src/membership.rs
+++ b/wisteriaford_core/src/membership.rs
@@ -14,6 +14,7 @@
 use wisteriaford_proto::membership::Acknowledgement;
 use wisteriaford_proto::membership::MembershipMessage;
 use wisteriaford_proto::membership::Probe;
+use wisteriaford_proto::membership::View;
 use wisteriaford_proto::membership::ViewRequest;
 use wisteriaford_proto::membership::membership_message::Body;
 
@@ -57,6 +58,7 @@
 const CONTACT_INTERVAL: Duration = Duration::from_secs(2);
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 const VIEW_INTERVAL: Duration = Duration::from_secs(60);
+const GROWING_VIEW_INTERVAL: Duration = Duration::from_secs(4);
 const JOIN_FANOUT: usize = 3;
 const LEAVE_FANOUT: usize = 4;
 
@@ -221,8 +223,7 @@
             Some(Body::IndirectProbe(request)) => self.relay(now, from, request, out),
             Some(Body::ViewRequest(ViewRequest {})) => self.answer_view(from, out),
             Some(Body::View(view)) => {
-                self.joined = true;
-                self.merge_all(now, &view.members, held_dead, out);
+                self.take_view(now, view, held_dead, out);
             }
             None => {}
         }
@@ -306,6 +307,22 @@
         }
     }
 
+    /// Takes a view; while views still bring members, the next one is asked for soon.
+    fn take_view(
+        &mut self,
+        now: Timestamp,
+        view: &View,
+        held_dead: bool,
+        out: &mut Vec<MembershipOutput>,
+    ) {
+        let before = self.entries.len();
+        self.merge_all(now, &view.members, held_dead, out);
+        self.joined |= !view.partial;
+        if self.entries.len() > before {
+            self.view_at = self.view_at.min(now + GROWING_VIEW_INTERVAL);
+        }
+    }
+
     /// Raises the own incarnation above a report that is not true.
     fn refute(&mut self, report: &Member) {
         let accused = report.incarnation == self.me.incarnation && report.state != self.me.state;
--- a/wisteriaford_core/src/membership/send.rs
+++ b/wisteriaford_core/src/membership/send.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use prost::Message;
+use rand::seq::IteratorRandom;
 use wisteriaford_proto::membership::MembershipMessage;
 use wisteriaford_proto::membership::View;
 use wisteriaford_proto::membership::membership_message::Body;
@@ -12,16 +13,27 @@
 use super::Sender;
 use crate::id::InstanceId;
 
-const MAX_UPDATES: usize = 12;
+const MAX_UPDATES: usize = 48;
+const MAX_UPDATES_WHEN_SHORT: usize = 8;
+const ROOM_FOR_MANY_BYTES: usize = 48_000;
+const PARTIAL_VIEW: usize = 8;
 
 impl Membership {
-    /// Answers with the whole view if the allowance has room; who asked asks again.
+    /// Answers with the whole view if the allowance has room, or with a few members to ask.
     pub(super) fn answer_view(&mut self, from: &Sender, out: &mut Vec<MembershipOutput>) {
         let members = self.members().map(Into::into).collect();
-        let view = View { members };
-        if self.allowance.allows(view.encoded_len()) {
-            self.reply(from, Body::View(view), out);
+        let mut view = View {
+            members,
+            partial: false,
+        };
+        if !self.allowance.allows(view.encoded_len()) {
+            view.partial = true;
+            view.members = view
+                .members
+                .into_iter()
+                .sample(&mut self.random, PARTIAL_VIEW);
         }
+        self.reply(from, Body::View(view), out);
     }
 
     /// Sends to a member that is known.
@@ -76,7 +88,12 @@
             updates.push((&self.me).into());
         }
         let members = self.entries.len() + 1;
-        for id in self.gossip.take(MAX_UPDATES, members) {
+        let limit = if self.allowance.allows(ROOM_FOR_MANY_BYTES) {
+            MAX_UPDATES
+        } else {
+            MAX_UPDATES_WHEN_SHORT
+        };
+        for id in self.gossip.take(limit, members) {
             if id == self.me.id && !names_me {
                 updates.push((&self.me).into());
             } else if let Some(entry) = self.entries.get(&id) {
--- a/wisteriaford_core/tests/membership.rs
+++ b/wisteriaford_core/tests/membership.rs
@@ -434,6 +434,15 @@
     world.check();
 }
 
+#[test]
+fn fleet_that_starts_at_once_joins_soon() {
+    let mut world = World::new(200);
+
+    world.run(Duration::from_secs(10));
+
+    world.check();
+}
+
 #[test]
 fn death_of_one_is_soon_known_to_all() {
     let mut world = World::new(40);
