Let the fuzzed trainers go on from step to step

A trainer's version now rises together with the engines', past the bound, and trainers begin a new step when one is whole.

Replayed: the fake engine ignored 'avoid' and ran the second attempt on the same slow endpoint as the first. It honours it now, as Start says a driver does; the replay then completes. A driver that has no other endpoint would still wait.

--- a/wisteriaford_core/tests/step_fuzz.rs
+++ b/wisteriaford_core/tests/step_fuzz.rs
@@ -30,7 +30,7 @@
 const TRAINERS: usize = 2;
 const CASES: u32 = 64;
 const SETTLE_MS: u64 = 180_000;
-const KINDS: [&str; 22] = [
+const KINDS: [&str; 23] = [
     "answer late",
     "answer lost",
     "answer repeated",
@@ -49,6 +49,7 @@
     "restarted",
     "sample unlabelled",
     "scorer failed",
+    "step begun",
     "trainer version",
     "engine version",
     "views agree",
@@ -127,7 +128,11 @@
     type Reference = Plan;
 
     fn init_test(has_scorer: &bool) -> World {
-        World::new(NODES, TRAINERS, *has_scorer)
+        let mut world = World::new(NODES, TRAINERS, *has_scorer);
+        for trainer in &mut world.trainers {
+            trainer.steps_left = u64::MAX;
+        }
+        world
     }
 
     fn apply(mut world: World, _: &bool, transition: Transition) -> World {
@@ -214,14 +219,13 @@
             });
         }
         Transition::TrainerVersion(trainer) => {
-            let newest = world.engine_version;
-            let version = &mut world.trainers[trainer].version;
-            *version = newest;
+            world.engine_version += 3;
+            world.trainers[trainer].version = world.engine_version;
             world.inject("trainer version");
         }
         Transition::EngineVersion => {
             world.inject("engine version");
-            world.engine_version += 2;
+            world.engine_version += 3;
         }
         Transition::Network(percent) => {
             world.faults.lose_percent = percent;
@@ -247,6 +251,9 @@
 /// Ends all faults and waits until each trainer holds its step.
 fn settle(world: &mut World) {
     world.faults = Faults::default();
+    for trainer in &mut world.trainers {
+        trainer.steps_left = 0;
+    }
     for node in 0..NODES {
         if world.nodes[node].is_leaving && world.nodes[node].steps.is_idle() {
             world.kill(node);
--- a/wisteriaford_core/tests/support/step_world.rs
+++ b/wisteriaford_core/tests/support/step_world.rs
@@ -132,6 +132,7 @@
     with_spec: bool,
     next_node: usize,
     pub(crate) is_done: bool,
+    pub(crate) steps_left: u64,
 }
 
 struct Open {
@@ -211,6 +212,7 @@
             with_spec: true,
             next_node: number,
             is_done: false,
+            steps_left: 0,
         };
         Self {
             now: Timestamp::from_millis(1_000),
@@ -430,8 +432,12 @@
         let attempt = start.attempt.clone();
         assert_eq!(start.seed, sample_seed(&attempt.key, attempt.index));
         self.starts.push((node, start.clone()));
-        let number = self.draw(ENDPOINTS);
-        let endpoint = EndpointId::from(format!("e{number}"));
+        let mut number = self.draw(ENDPOINTS);
+        let mut endpoint = EndpointId::from(format!("e{number}"));
+        while start.avoid.contains(&endpoint) {
+            number = (number + 1) % ENDPOINTS;
+            endpoint = EndpointId::from(format!("e{number}"));
+        }
         let (tokens, text) = sample_text(&start.prompt, start.seed);
         let slow = if self.faults.engine_slow && number == 0 {
             self.inject("engine slow");
@@ -563,9 +569,18 @@
             assert!(trainer.held.insert(sample.index), "delivered twice");
         }
         trainer.is_done = answer.complete;
+        let begins_next = answer.complete && trainer.steps_left > 0;
         trainer.number += 1;
         trainer.waits_at = None;
-        trainer.with_spec = false;
+        trainer.with_spec = begins_next;
+        if begins_next {
+            assert_eq!(trainer.held.len(), trainer.spec.total() as usize);
+            trainer.steps_left -= 1;
+            trainer.is_done = false;
+            trainer.held.clear();
+            trainer.key.number = trainer.key.number.next();
+            *self.injected.entry("step begun").or_default() += 1;
+        }
     }
 
     fn refuse(&mut self, ticket: PullTicket, reason: PullRefusal) {
