--- /dev/null
+++ b/wisteriaford_fakes/src/fleet/border.rs
@@ -0,0 +1,405 @@
+//! Effects of instances, carried out against the fakes.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use prost::Message;
+use wisteriaford_core::effect::Attempt;
+use wisteriaford_core::effect::Effect;
+use wisteriaford_core::event::AttemptEvent;
+use wisteriaford_core::event::AttemptFailure;
+use wisteriaford_core::event::EndpointReport;
+use wisteriaford_core::event::Event;
+use wisteriaford_core::event::LogStream;
+use wisteriaford_core::event::OrderAnswer;
+use wisteriaford_core::event::PollFailure;
+use wisteriaford_core::hash::hash_parts;
+use wisteriaford_core::id::AttemptId;
+use wisteriaford_core::id::InstanceId;
+use wisteriaford_core::id::Version;
+use wisteriaford_core::step::Score;
+use wisteriaford_core::step::ScoreFailure;
+use wisteriaford_core::step::ScoreItem;
+use wisteriaford_core::work::Call;
+use wisteriaford_core::work::Generation;
+use wisteriaford_core::work::Work;
+use wisteriaford_proto::peer::PeerMessage;
+use wisteriaford_proto::peer::peer_message::Body;
+
+use super::Answer;
+use super::Fleet;
+use super::Item;
+use crate::engine::Stream;
+use crate::engine::expected_text;
+use crate::engine::expected_tokens;
+use crate::node::NodeState;
+
+/// Time after which a call to something silent is given up.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause before an engine asks a busy weight store again.
+const STORE_RETRY: Duration = Duration::from_millis(250);
+
+impl Fleet {
+    pub(super) fn carry_out(&mut self, id: &InstanceId, effect: Effect) {
+        match effect {
+            Effect::Send {
+                address, message, ..
+            } => self.send(id, &address, message),
+            Effect::Reply(ticket, reply) => self.answers.push(Answer {
+                at: self.now,
+                instance: id.clone(),
+                ticket,
+                reply,
+            }),
+            Effect::Open(attempt) => self.open(id, &attempt),
+            Effect::Cancel { attempt, address } => {
+                if let Some(engine) = self.engines.get_mut(&address) {
+                    engine.streams.shift_remove(&attempt);
+                }
+                self.start_waiting(&address);
+            }
+            Effect::Poll { endpoint, address } => {
+                let (delay, result) = self.poll(&address);
+                let event = Event::Polled(endpoint, result);
+                self.deliver(self.now + delay, id, event);
+            }
+            Effect::Order {
+                endpoint,
+                address,
+                fence,
+                version,
+            } => {
+                let answer = self.order(&address, fence, version);
+                let at = self.now + self.hop(id, &address) * 2;
+                self.deliver(at, id, Event::Ordered(endpoint, answer));
+            }
+            Effect::Append {
+                append,
+                stream,
+                record,
+            } => {
+                let result = self.log.append(self.now, stream, &record);
+                let at = self.now + self.settings.platform_latency;
+                self.deliver(at, id, Event::Appended(append, result));
+                self.wake_readers(stream);
+            }
+            Effect::PollModel(model) => {
+                if let Some(&version) = self.models.get(&model) {
+                    let at = self.now + self.settings.platform_latency;
+                    self.deliver(at, id, Event::Announced(model, version));
+                }
+            }
+            Effect::PollInstances => {
+                let at = self.now + self.settings.platform_latency;
+                let listed = self.listed();
+                self.deliver(at, id, Event::Listed(listed));
+            }
+            Effect::Score {
+                ticket, samples, ..
+            } => {
+                let at = self.now + self.settings.score_time;
+                let scores = self.score(&samples);
+                self.deliver(at, id, Event::Scored(ticket, scores));
+            }
+            Effect::Note(note) => self.notes.push((self.now, id.clone(), note)),
+            Effect::Exit => self.kill(id),
+        }
+    }
+
+    fn send(&mut self, from: &InstanceId, address: &CompactString, message: PeerMessage) {
+        let sent = self
+            .sent
+            .entry((from.clone(), kind_of(&message)))
+            .or_default();
+        sent.messages += 1;
+        sent.bytes += message.encoded_len() as u64;
+        let to = self
+            .nodes
+            .values()
+            .find(|node| node.identity.address == *address);
+        let Some(to) = to.filter(|node| node.state != NodeState::Gone) else {
+            return;
+        };
+        let to = to.identity.clone();
+        let is_cut = |cut: &(InstanceId, InstanceId)| cut.0 == *from && cut.1 == to.id;
+        if self.cuts.iter().any(is_cut) {
+            return;
+        }
+        let Some(node) = self.nodes.get(from) else {
+            return;
+        };
+        let me = &node.identity;
+        let latency = self.latency(
+            (&me.availability_zone, &me.region),
+            (&to.availability_zone, &to.region),
+        );
+        self.deliver(self.now + latency, &to.id, Event::Peer(message));
+    }
+
+    /// Returns the one-way latency between an instance and an endpoint.
+    fn hop(&self, id: &InstanceId, address: &str) -> Duration {
+        let Some(node) = self.nodes.get(id) else {
+            return self.settings.region_latency;
+        };
+        let Some((zone, region)) = self.zones.get(address) else {
+            return self.settings.zone_latency;
+        };
+        let me = &node.identity;
+        self.latency((&me.availability_zone, &me.region), (zone, region))
+    }
+
+    pub(super) fn wake_readers(&mut self, stream: LogStream) {
+        let nodes = self.nodes.values();
+        let reading = nodes.filter(|node| node.state == NodeState::Running);
+        let woken: Vec<_> = reading
+            .map(|node| (node.identity.id.clone(), node.run))
+            .collect();
+        let at = self.now + self.settings.platform_latency;
+        for (id, run) in woken {
+            self.schedule.push(at, Item::Wake(id, run, stream));
+        }
+    }
+
+    fn open(&mut self, id: &InstanceId, attempt: &Attempt) {
+        match &attempt.work {
+            Work::Generate(generation) => self.generate(id, attempt, generation),
+            Work::Call(call) => self.run_call(id, attempt, call),
+        }
+    }
+
+    fn fail(&mut self, id: &InstanceId, attempt: &AttemptId, failure: AttemptFailure) {
+        let at = self.now + self.settings.region_latency;
+        let event = Event::Attempt(attempt.clone(), AttemptEvent::Failed(failure));
+        self.deliver(at, id, event);
+    }
+
+    fn generate(&mut self, id: &InstanceId, attempt: &Attempt, work: &Generation) {
+        let hop = self.hop(id, &attempt.address);
+        let run = self.nodes.get(id).map_or(0, |node| node.run);
+        let Some(engine) = self.engines.get_mut(&attempt.address) else {
+            self.fail(id, &attempt.id, AttemptFailure::NotConnected);
+            return;
+        };
+        if engine.is_down {
+            self.fail(id, &attempt.id, AttemptFailure::NotConnected);
+            return;
+        }
+        engine.begun += 1;
+        let running = engine.streams.values().filter(|s| !s.is_waiting).count();
+        let is_waiting = running >= engine.settings.slots;
+        let stream = Stream {
+            to: id.clone(),
+            run,
+            work: work.clone(),
+            next_token: attempt.from_token,
+            total_tokens: expected_tokens(&work.prompt, work.seed, work.max_tokens),
+            is_silent: engine.is_silent,
+            is_waiting,
+        };
+        engine.streams.insert(attempt.id.clone(), stream);
+        if !is_waiting {
+            let first = engine.settings.first_token + engine.line_time() + hop;
+            let incarnation = engine.incarnation.0;
+            let item = Item::Line(attempt.address.clone(), incarnation, attempt.id.clone());
+            self.schedule.push(self.now + first, item);
+        }
+    }
+
+    /// Sends the next tokens of a stream.
+    pub(super) fn line(&mut self, address: &CompactString, incarnation: u64, attempt: &AttemptId) {
+        let Some(engine) = self.engines.get_mut(address) else {
+            return;
+        };
+        if engine.is_down || engine.incarnation.0 != incarnation {
+            return;
+        }
+        let is_poisoned = engine
+            .streams
+            .get(attempt)
+            .is_some_and(|stream| engine.is_poisoned_by(&stream.work));
+        if is_poisoned {
+            self.crash_engine(address, Some(Duration::from_secs(3)));
+            return;
+        }
+        let version = engine.version;
+        let line_time = engine.line_time();
+        let per_line = engine.settings.tokens_per_line.max(1);
+        let Some(stream) = engine.streams.get_mut(attempt) else {
+            return;
+        };
+        if stream.is_silent {
+            return;
+        }
+        let from_token = stream.next_token;
+        let to_token = stream.total_tokens.min(from_token + per_line);
+        stream.next_token = to_token;
+        let is_done = to_token >= stream.total_tokens;
+        let stream = stream.clone();
+        if is_done {
+            engine.streams.shift_remove(attempt);
+        }
+        self.send_tokens(address, attempt, &stream, (from_token, to_token), version);
+        if is_done {
+            self.start_waiting(address);
+            return;
+        }
+        let item = Item::Line(address.clone(), incarnation, attempt.clone());
+        self.schedule.push(self.now + line_time, item);
+    }
+
+    fn send_tokens(
+        &mut self,
+        address: &str,
+        attempt: &AttemptId,
+        stream: &Stream,
+        (from_token, to_token): (u32, u32),
+        version: Version,
+    ) {
+        let at = self.now + self.hop(&stream.to, address);
+        let mut deliver = |event| {
+            let event = Event::Attempt(attempt.clone(), event);
+            let item = Item::Event(stream.to.clone(), stream.run, event);
+            self.schedule.push(at, item);
+        };
+        if to_token > from_token {
+            let work = &stream.work;
+            deliver(AttemptEvent::Tokens {
+                from_token,
+                tokens: to_token - from_token,
+                text: expected_text(&work.prompt, work.seed, from_token, to_token),
+                version,
+            });
+        }
+        if to_token >= stream.total_tokens {
+            let total_tokens = stream.total_tokens;
+            deliver(AttemptEvent::Finished { total_tokens });
+        }
+    }
+
+    fn start_waiting(&mut self, address: &CompactString) {
+        let Some(engine) = self.engines.get_mut(address) else {
+            return;
+        };
+        let Some(attempt) = engine.start_waiting() else {
+            return;
+        };
+        let at = self.now + engine.settings.first_token + engine.line_time();
+        let item = Item::Line(address.clone(), engine.incarnation.0, attempt);
+        self.schedule.push(at, item);
+    }
+
+    fn run_call(&mut self, id: &InstanceId, attempt: &Attempt, call: &Call) {
+        let hop = self.hop(id, &attempt.address);
+        let Some(service) = self.services.get_mut(&attempt.address) else {
+            self.fail(id, &attempt.id, AttemptFailure::NotConnected);
+            return;
+        };
+        if service.is_down {
+            self.fail(id, &attempt.id, AttemptFailure::NotConnected);
+            return;
+        }
+        let is_heard = service.run(attempt.request.as_str(), call.key.as_ref());
+        let at = self.now + hop * 2 + service.call_time;
+        let event = if is_heard {
+            AttemptEvent::Answered {
+                status: 200,
+                content_type: call.content_type.clone(),
+                body: call.body.to_vec(),
+            }
+        } else {
+            AttemptEvent::Failed(AttemptFailure::Broken)
+        };
+        self.deliver(at, id, Event::Attempt(attempt.id.clone(), event));
+    }
+
+    fn poll(&self, address: &str) -> (Duration, Result<EndpointReport, PollFailure>) {
+        let soon = self.settings.region_latency * 2;
+        if let Some(engine) = self.engines.get(address) {
+            if engine.is_down {
+                return (soon, Err(PollFailure::Refused));
+            }
+            if engine.is_silent {
+                return (SILENCE_TIMEOUT, Err(PollFailure::TimedOut));
+            }
+            return (soon, Ok(engine.report()));
+        }
+        match self.services.get(address) {
+            Some(service) if !service.is_down => (soon, Ok(EndpointReport::default())),
+            _ => (soon, Err(PollFailure::Refused)),
+        }
+    }
+
+    fn order(
+        &mut self,
+        address: &CompactString,
+        fence: wisteriaford_core::id::Fence,
+        version: Version,
+    ) -> OrderAnswer {
+        let Some(engine) = self.engines.get_mut(address) else {
+            return OrderAnswer::Unknown;
+        };
+        if engine.is_down || engine.is_silent {
+            return OrderAnswer::Unknown;
+        }
+        let (answer, begins) = engine.order(fence, version);
+        if begins {
+            let item = Item::Load(address.clone(), engine.incarnation.0);
+            self.schedule.push(self.now, item);
+        }
+        answer
+    }
+
+    /// Begins a load if the weight store has room, or asks it again later.
+    pub(super) fn load(&mut self, address: CompactString, incarnation: u64) {
+        let Some(engine) = self.engines.get(&address) else {
+            return;
+        };
+        let is_over = engine.is_down || engine.incarnation.0 != incarnation;
+        if is_over || engine.loading.is_none() {
+            return;
+        }
+        if self.loads_running >= self.settings.concurrent_loads {
+            let at = self.now + STORE_RETRY;
+            self.schedule.push(at, Item::Load(address, incarnation));
+            return;
+        }
+        self.loads_running += 1;
+        let at = self.now + engine.settings.load_time;
+        self.schedule.push(at, Item::LoadDone(address, incarnation));
+    }
+
+    pub(super) fn load_done(&mut self, address: &CompactString, incarnation: u64) {
+        let Some(engine) = self.engines.get_mut(address) else {
+            return;
+        };
+        if engine.is_down || engine.incarnation.0 != incarnation {
+            return;
+        }
+        self.loads_running = self.loads_running.saturating_sub(1);
+        engine.finish_load();
+    }
+
+    fn score(&self, samples: &[ScoreItem]) -> Result<Vec<Score>, ScoreFailure> {
+        if self.is_scorer_down {
+            return Err(ScoreFailure);
+        }
+        let scores = samples.iter().map(|sample| {
+            let drawn = hash_parts(&[sample.text.as_bytes()]) % 1_000;
+            Score {
+                index: sample.index,
+                score_milli: i64::try_from(drawn).unwrap_or_default(),
+            }
+        });
+        Ok(scores.collect())
+    }
+}
+
+fn kind_of(message: &PeerMessage) -> &'static str {
+    match &message.body {
+        Some(Body::Membership(_)) => "membership",
+        Some(Body::Admission(_)) => "admission",
+        Some(Body::Step(_)) => "step",
+        Some(Body::Fleet(_)) => "fleet",
+        None => "none",
+    }
+}
--- /dev/null
+++ b/wisteriaford_fakes/src/node.rs
@@ -0,0 +1,32 @@
+//! One instance of a fleet, as its machine sees it.
+
+use indexmap::IndexMap;
+use wisteriaford_core::event::Event;
+use wisteriaford_core::event::Identity;
+use wisteriaford_core::event::LogStream;
+use wisteriaford_core::id::Offset;
+use wisteriaford_core::instance::Instance;
+
+/// What an instance's process does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NodeState {
+    /// It runs.
+    Running,
+    /// It is paused and does not know it.
+    Frozen,
+    /// It is gone.
+    Gone,
+}
+
+/// One instance and what its machine holds for it.
+pub(crate) struct Node {
+    pub(crate) identity: Identity,
+    pub(crate) instance: Instance,
+    pub(crate) state: NodeState,
+    /// Run of the process; what was scheduled for an earlier one is dropped.
+    pub(crate) run: u64,
+    /// Events that arrived while it was frozen.
+    pub(crate) held: Vec<Event>,
+    /// Where the log is read from next.
+    pub(crate) log_from: IndexMap<LogStream, Offset>,
+}
