--- /dev/null
+++ b/wisteriaford_core/src/instance/requests/ending.rs
@@ -0,0 +1,128 @@
+//! Final answers of requests.
+
+use crate::counters::Counter;
+use crate::effect::Effect;
+use crate::explain::Decision;
+use crate::id::RequestId;
+use crate::instance::Instance;
+use crate::refusal::Outcome;
+use crate::refusal::Refusal;
+use crate::refusal::RefusalReason;
+use crate::reply::Reply;
+use crate::request::Active;
+use crate::request::Origin;
+use crate::request::Phase;
+use crate::request::Running;
+use crate::step::SampleFailure;
+use crate::time::Timestamp;
+use crate::work::Work;
+
+impl Instance {
+    /// Returns a refusal that says truly whether the request may have run.
+    pub(in crate::instance) fn refusal_of(
+        &self,
+        request: &RequestId,
+        reason: RefusalReason,
+    ) -> Refusal {
+        let outcome = match self.requests.get(request) {
+            Some(active) if active.may_have_run => Outcome::OutcomeUnknown,
+            Some(active) => active.unsent_outcome(),
+            None => Outcome::NotRun,
+        };
+        Refusal {
+            reason,
+            outcome,
+            retry_after: None,
+        }
+    }
+
+    /// Removes a request and gives back the slot that it holds.
+    pub(in crate::instance) fn end(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        failed: bool,
+    ) -> Option<(Active, Running)> {
+        let running = self.requests.get(request)?.holding()?.clone();
+        let active = self.requests.shift_remove(request)?;
+        self.give_back(now, &active, &running, failed);
+        self.limits.finish(&active.request.caller);
+        Some((active, running))
+    }
+
+    pub(in crate::instance) fn give_back(
+        &mut self,
+        now: Timestamp,
+        active: &Active,
+        running: &Running,
+        failed: bool,
+    ) {
+        let tokens = match active.request.work {
+            Work::Generate(_) => running.tokens,
+            Work::Call(_) => 1,
+        };
+        self.release(now, &running.attempt, &running.endpoint, tokens, failed);
+    }
+
+    /// Gives a request its final answer: a refusal.
+    pub(in crate::instance) fn refuse(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        refusal: Refusal,
+    ) {
+        let Some(active) = self.requests.shift_remove(request) else {
+            return;
+        };
+        self.stop(now, &active);
+        self.limits.finish(&active.request.caller);
+        self.claim_refused(now, request, refusal.outcome);
+        self.counters.refused(refusal.reason);
+        let decision = Decision::Refused(refusal);
+        self.explanations.add(now, request, decision);
+        match active.origin {
+            Origin::Caller(ticket) => {
+                self.reply(ticket, Reply::Refused(Some(request.clone()), refusal));
+            }
+            Origin::Sample(attempt) => {
+                let failure = match refusal.outcome {
+                    Outcome::NotRun => SampleFailure::Refused,
+                    Outcome::OutcomeUnknown => SampleFailure::Lost,
+                };
+                self.sample_finished(now, &attempt, Err(failure));
+            }
+        }
+    }
+
+    /// Drops a request that nobody waits for any more.
+    pub(in crate::instance) fn cancel(&mut self, now: Timestamp, request: &RequestId) {
+        let Some(active) = self.requests.shift_remove(request) else {
+            return;
+        };
+        self.stop(now, &active);
+        self.limits.finish(&active.request.caller);
+        let wasted = u64::from(active.partial.tokens());
+        self.counters.add(Counter::WastedTokens, wasted);
+        self.explanations.add(now, request, Decision::Cancelled);
+    }
+
+    /// Withdraws the asks of a request, or cancels its attempt.
+    pub(in crate::instance) fn stop(&mut self, now: Timestamp, active: &Active) {
+        match &active.phase {
+            Phase::Asking(asks) => {
+                for ask in asks {
+                    self.release(now, &ask.attempt, &ask.endpoint, 0, false);
+                }
+            }
+            Phase::Claiming(running) => self.give_back(now, active, running, false),
+            Phase::Running(running) => {
+                self.effects.push(Effect::Cancel {
+                    attempt: running.attempt.clone(),
+                    address: running.address.clone(),
+                });
+                self.give_back(now, active, running, false);
+            }
+            Phase::BackingOff(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaford_core/src/instance/requests/running.rs
@@ -0,0 +1,386 @@
+//! Requests at an endpoint.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::counters::Counter;
+use crate::effect::Attempt;
+use crate::effect::Effect;
+use crate::event::AttemptEvent;
+use crate::event::AttemptFailure;
+use crate::explain::Decision;
+use crate::id::AttemptId;
+use crate::id::EndpointId;
+use crate::id::RequestId;
+use crate::id::Version;
+use crate::instance::Instance;
+use crate::label::Span;
+use crate::refusal::Outcome;
+use crate::refusal::RetryReason;
+use crate::reply::Called;
+use crate::reply::Generated;
+use crate::reply::Reply;
+use crate::request::Active;
+use crate::request::Origin;
+use crate::request::Phase;
+use crate::request::Running;
+use crate::retry::Execution;
+use crate::retry::FailedAttempt;
+use crate::retry::RetryDecision;
+use crate::step::FinishedSample;
+use crate::time::Timestamp;
+
+impl Instance {
+    pub(in crate::instance) fn dispatch(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        attempt: AttemptId,
+        endpoint: EndpointId,
+    ) {
+        let Some(address) = self.address_of(&endpoint) else {
+            return;
+        };
+        let Some(active) = self.requests.get_mut(request) else {
+            return;
+        };
+        let decision = Decision::Granted {
+            endpoint: endpoint.clone(),
+            waited: now.since(active.accepted_at),
+        };
+        let running = Running {
+            attempt,
+            endpoint,
+            address,
+            progress_at: now,
+            tokens: 0,
+            ran_before: active.may_have_run,
+        };
+        let needs_claim = !active.idempotent && active.request.work.key().is_some();
+        active.phase = if needs_claim {
+            Phase::Claiming(running)
+        } else {
+            Phase::Running(running)
+        };
+        self.explanations.add(now, request, decision);
+        if needs_claim {
+            self.claim(now, request);
+        } else {
+            self.open(now, request);
+        }
+    }
+
+    /// Sends the request to the endpoint whose slot it holds.
+    pub(in crate::instance) fn open(&mut self, now: Timestamp, request: &RequestId) {
+        let Some(active) = self.requests.get_mut(request) else {
+            return;
+        };
+        if let Phase::Claiming(running) = &active.phase {
+            active.phase = Phase::Running(running.clone());
+        }
+        let Phase::Running(running) = &mut active.phase else {
+            return;
+        };
+        running.progress_at = now;
+        active.may_have_run = true;
+        let from_token = active.partial.tokens();
+        let attempt = Attempt {
+            id: running.attempt.clone(),
+            request: request.clone(),
+            endpoint: running.endpoint.clone(),
+            address: running.address.clone(),
+            work: active.request.work.clone(),
+            priority: active.priority,
+            from_token,
+        };
+        let decision = Decision::Sent {
+            endpoint: attempt.endpoint.clone(),
+            from_token,
+        };
+        self.counters.add(Counter::Attempts, 1);
+        if from_token > 0 {
+            self.counters.add(Counter::Resumes, 1);
+        }
+        self.explanations.add(now, request, decision);
+        self.effects.push(Effect::Open(attempt));
+    }
+
+    /// Takes what came from an endpoint.
+    pub(in crate::instance) fn attempt_event(
+        &mut self,
+        now: Timestamp,
+        id: &AttemptId,
+        event: AttemptEvent,
+    ) {
+        let Some(request) = self.attempts.get(id).cloned() else {
+            return;
+        };
+        let is_running = self
+            .requests
+            .get(&request)
+            .and_then(Active::running)
+            .is_some_and(|running| &running.attempt == id);
+        if !is_running {
+            return;
+        }
+        match event {
+            AttemptEvent::Tokens {
+                from_token,
+                tokens,
+                text,
+                version,
+            } => {
+                let span = Span {
+                    from_token,
+                    to_token: from_token.saturating_add(tokens),
+                    version,
+                };
+                self.tokens(now, &request, span, &text);
+            }
+            AttemptEvent::Finished { total_tokens } => self.finished(now, &request, total_tokens),
+            AttemptEvent::Answered {
+                status,
+                content_type,
+                body,
+            } => self.answered(now, &request, status, content_type, body),
+            AttemptEvent::Failed(failure) => self.attempt_failed(now, &request, failure),
+        }
+    }
+
+    pub(in crate::instance) fn tokens(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        span: Span,
+        text: &str,
+    ) {
+        let Some(active) = self.requests.get_mut(request) else {
+            return;
+        };
+        let count = span.to_token.saturating_sub(span.from_token);
+        let version_before = active.partial.label.newest();
+        let added = active.partial.add(span, text);
+        if let Phase::Running(running) = &mut active.phase {
+            running.progress_at = now;
+            running.tokens = running.tokens.saturating_add(count);
+        }
+        let origin = active.origin.clone();
+        match added {
+            Ok(true) => {
+                self.counters.add(Counter::Tokens, u64::from(count));
+                self.note_version(now, request, version_before, span);
+                if let Origin::Sample(attempt) = origin {
+                    self.sample_progress(request, &attempt, span.to_token);
+                }
+            }
+            Ok(false) => self.counters.add(Counter::WastedTokens, u64::from(count)),
+            Err(_) => self.attempt_failed(now, request, AttemptFailure::Malformed),
+        }
+    }
+
+    pub(in crate::instance) fn note_version(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        before: Option<Version>,
+        span: Span,
+    ) {
+        if before.is_some_and(|version| version != span.version) {
+            let decision = Decision::VersionChanged {
+                at_token: span.from_token,
+                version: span.version,
+            };
+            self.explanations.add(now, request, decision);
+        }
+    }
+
+    /// A stream ended: the answer is whole only if every token of it has come.
+    pub(in crate::instance) fn finished(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        total_tokens: u32,
+    ) {
+        let Some(active) = self.requests.get(request) else {
+            return;
+        };
+        if active.partial.tokens() != total_tokens || total_tokens == 0 {
+            self.attempt_failed(now, request, AttemptFailure::Malformed);
+            return;
+        }
+        let Some((active, running)) = self.end(now, request, false) else {
+            return;
+        };
+        self.complete(now, &active, &running);
+        match active.origin {
+            Origin::Caller(ticket) => {
+                let spans = active.partial.spans();
+                let generated = Generated {
+                    request: request.clone(),
+                    tokens: active.partial.tokens(),
+                    text: active.partial.text,
+                    spans,
+                    endpoint: running.endpoint,
+                };
+                self.reply(ticket, Reply::Generated(generated));
+            }
+            Origin::Sample(attempt) => {
+                let sample = FinishedSample {
+                    index: attempt.index,
+                    group: 0,
+                    tokens: active.partial.tokens(),
+                    text: active.partial.text,
+                    label: active.partial.label,
+                    score_milli: None,
+                    instance: self.identity.id.clone(),
+                    endpoint: running.endpoint,
+                };
+                self.sample_finished(now, &attempt, Ok(sample));
+            }
+        }
+    }
+
+    pub(in crate::instance) fn answered(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        status: u16,
+        content_type: CompactString,
+        body: Vec<u8>,
+    ) {
+        let Some((active, running)) = self.end(now, request, false) else {
+            return;
+        };
+        self.complete(now, &active, &running);
+        self.claim_answered(now, request);
+        if let Origin::Caller(ticket) = active.origin {
+            let called = Called {
+                request: request.clone(),
+                status,
+                content_type,
+                body,
+                endpoint: running.endpoint,
+            };
+            self.reply(ticket, Reply::Called(called));
+        }
+    }
+
+    /// Notes that a request was answered whole.
+    pub(in crate::instance) fn complete(
+        &mut self,
+        now: Timestamp,
+        active: &Active,
+        running: &Running,
+    ) {
+        self.counters.add(Counter::Answers, 1);
+        self.quarantine.note_completed(active.fingerprint);
+        self.retries.note_success(now, &active.request.pool);
+        let tokens = active.partial.tokens().max(1);
+        self.shares
+            .note_received(now, &active.request.caller, tokens);
+        let decision = Decision::Answered {
+            endpoint: running.endpoint.clone(),
+        };
+        let request = &active.request.id;
+        self.explanations.add(now, request, decision);
+    }
+
+    /// An attempt failed: another follows where nothing can run twice.
+    pub(in crate::instance) fn attempt_failed(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        failure: AttemptFailure,
+    ) {
+        let Some(active) = self.requests.get_mut(request) else {
+            return;
+        };
+        let Some(running) = active.running().cloned() else {
+            return;
+        };
+        active.failures += 1;
+        let proves_not_run = failure.proves_not_run();
+        if proves_not_run {
+            active.may_have_run = running.ran_before;
+        }
+        if failure == AttemptFailure::Broken {
+            // It may have crashed the endpoint, so that others must not run beside it.
+            active.alone = true;
+        }
+        active.avoid = vec![running.endpoint.clone()];
+        let active = active.clone();
+        let decision = Decision::AttemptFailed {
+            endpoint: running.endpoint.clone(),
+            failure,
+        };
+        self.explanations.add(now, request, decision);
+        if proves_not_run {
+            self.claim_not_run(request);
+        }
+        let failed = matches!(
+            failure,
+            AttemptFailure::Broken | AttemptFailure::NotConnected
+        );
+        self.give_back(now, &active, &running, failed);
+        if matches!(failure, AttemptFailure::Silent | AttemptFailure::Malformed) {
+            self.effects.push(Effect::Cancel {
+                attempt: running.attempt,
+                address: running.address,
+            });
+        }
+        self.retry(now, &active, failure);
+    }
+
+    pub(in crate::instance) fn retry(
+        &mut self,
+        now: Timestamp,
+        active: &Active,
+        failure: AttemptFailure,
+    ) {
+        let request = &active.request.id;
+        let execution = if failure.proves_not_run() {
+            Execution::NotRun
+        } else {
+            Execution::Unknown
+        };
+        let failed = FailedAttempt {
+            reason: failure.retry_reason(),
+            execution,
+            earlier_may_have_run: active.may_have_run,
+            idempotent: active.idempotent,
+            retries: active.failures.saturating_sub(1),
+            deadline: active.request.deadline,
+        };
+        match self.retries.decide(now, &active.request.pool, &failed) {
+            RetryDecision::Retry { at, reason } => {
+                self.count_retry(now, request, reason, at.since(now));
+                if let Some(active) = self.requests.get_mut(request) {
+                    active.phase = Phase::BackingOff(at);
+                }
+            }
+            RetryDecision::GiveUp(mut refusal) => {
+                if refusal.outcome == Outcome::NotRun {
+                    refusal.outcome = active.unsent_outcome();
+                }
+                if let Some(active) = self.requests.get_mut(request) {
+                    // The slot was given back above.
+                    active.phase = Phase::BackingOff(now);
+                }
+                self.refuse(now, request, refusal);
+            }
+        }
+    }
+
+    pub(in crate::instance) fn count_retry(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        reason: RetryReason,
+        delay: Duration,
+    ) {
+        self.counters.retried(reason);
+        let decision = Decision::Retried { reason, delay };
+        self.explanations.add(now, request, decision);
+    }
+}
