Spread that a crash no longer counts

Cause: a suspect may be cleared since the schema gained the field, and the exchange would have told peers for good that the crash counts. A cleared sighting is news once and never counts again.

Conclusion: exchange and quarantine mean the same by a suspect.

--- a/wisteriaford_core/src/exchange.rs
+++ b/wisteriaford_core/src/exchange.rs
@@ -96,6 +96,12 @@
     sequences: IndexMap<CompactString, u64>,
 }
 
+#[derive(Clone, Copy)]
+struct Sighting {
+    seen_at: Timestamp,
+    cleared: bool,
+}
+
 struct UseOfPeer {
     callers: Vec<CallerUse>,
     heard_at: Timestamp,
@@ -118,7 +124,7 @@
     round_at: Timestamp,
     gossip: Gossip<Key>,
     endpoints: IndexMap<EndpointId, KnownEndpoint>,
-    suspects: IndexMap<(u64, CompactString), Timestamp>,
+    suspects: IndexMap<(u64, CompactString), Sighting>,
     models: IndexMap<ModelId, Version>,
     own_use: Vec<CallerUse>,
     peer_use: IndexMap<InstanceId, UseOfPeer>,
@@ -160,12 +166,15 @@
         self.models.get(model).copied().unwrap_or_default()
     }
 
-    /// Returns the crashes known with a request in progress, by their unique names.
+    /// Returns the crashes that count against a request, by their unique names.
     pub fn crashes_of(&self, fingerprint: u64) -> impl Iterator<Item = &str> {
-        let known = self.suspects.keys();
-        known
-            .filter(move |(known, _)| *known == fingerprint)
-            .map(|(_, crash)| crash.as_str())
+        let counted = self
+            .suspects
+            .iter()
+            .filter(|(_, sighting)| !sighting.cleared);
+        counted
+            .filter(move |((known, _), _)| *known == fingerprint)
+            .map(|((_, crash), _)| crash.as_str())
     }
 
     /// Takes the state of an endpoint stewarded here; `sequence` and `steward` are set here.
@@ -352,17 +361,25 @@
         true
     }
 
+    /// Takes a crash that is new, or one that no longer counts; it never counts again.
     fn take_suspect(&mut self, now: Timestamp, suspect: &Suspect) -> bool {
         let age = Duration::from_millis(suspect.age_ms);
         let key = (
             suspect.fingerprint,
             CompactString::from(suspect.crash.as_str()),
         );
+        let cleared = suspect.cleared;
         let full = self.suspects.len() >= MAX_SUSPECTS;
-        if age >= SUSPECT_AGE || full || self.suspects.contains_key(&key) {
-            return false;
+        match self.suspects.get_mut(&key) {
+            Some(sighting) if cleared && !sighting.cleared => sighting.cleared = true,
+            Some(_) => return false,
+            None if age >= SUSPECT_AGE || full => return false,
+            None => {
+                let seen_at = now - age;
+                self.suspects
+                    .insert(key.clone(), Sighting { seen_at, cleared });
+            }
         }
-        self.suspects.insert(key.clone(), now - age);
         self.gossip.push(Key::Suspect(key.0, key.1));
         true
     }
@@ -371,7 +388,7 @@
         self.endpoints
             .retain(|_, known| now.since(known.heard_at) < MAX_AGE);
         self.suspects
-            .retain(|_, seen_at| now.since(*seen_at) < SUSPECT_AGE);
+            .retain(|_, sighting| now.since(sighting.seen_at) < SUSPECT_AGE);
         self.peer_use
             .retain(|_, peer| now.since(peer.heard_at) < USE_AGE);
     }
@@ -434,12 +451,12 @@
                 known.state.encoded_len()
             }
             Key::Suspect(fingerprint, crash) => {
-                let Some(seen_at) = self.suspects.get(&(*fingerprint, crash.clone())) else {
+                let Some(sighting) = self.suspects.get(&(*fingerprint, crash.clone())) else {
                     return 0;
                 };
-                let age_ms = now.since(*seen_at).as_millis();
+                let age_ms = now.since(sighting.seen_at).as_millis();
                 message.suspects.push(Suspect {
-                    cleared: false,
+                    cleared: sighting.cleared,
                     fingerprint: *fingerprint,
                     crash: crash.to_string(),
                     age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
