Follow the prefix caches of the engines in use, and keep kinds of calls apart

Gossip of prefixes was ruled out: its bytes grow with engines times prefixes.

Each kind of call has threads of its own, since a silent weight store held the threads that appends needed; polls that find no thread are dropped, as they come again. An attempt's connection now outlives the pool's silence timeout, or for a call its deadline, instead of one fixed time that cut slow calls short.

--- a/wisteriaford_core/src/effect.rs
+++ b/wisteriaford_core/src/effect.rs
@@ -1,5 +1,7 @@
 //! What an instance wants done.
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 use wisteriaford_proto::peer::PeerMessage;
 use wisteriaford_proto::record::Record;
@@ -51,6 +53,15 @@
         /// Its address.
         address: CompactString,
     },
+    /// Ask an endpoint for the changes of its prefix cache.
+    ReadCache {
+        /// Endpoint.
+        endpoint: EndpointId,
+        /// Its address.
+        address: CompactString,
+        /// Number of the first change asked for.
+        from: u64,
+    },
     /// Order an endpoint to reach a version of the weights.
     Order {
         /// Endpoint.
@@ -107,4 +118,6 @@
     pub priority: Priority,
     /// Token to begin at, after a stream that broke.
     pub from_token: u32,
+    /// Longest silence of the connection before the attempt is given up.
+    pub silence_timeout: Duration,
 }
--- a/wisteriaford_core/src/event.rs
+++ b/wisteriaford_core/src/event.rs
@@ -23,6 +23,7 @@
 use crate::id::Version;
 use crate::membership::ListedInstance;
 use crate::refusal::RetryReason;
+use crate::routing::CacheEvent;
 use crate::step::Score;
 use crate::step::ScoreFailure;
 use crate::step::ScoreTicket;
@@ -43,6 +44,8 @@
     Attempt(AttemptId, AttemptEvent),
     /// An endpoint was asked for its state.
     Polled(EndpointId, Result<EndpointReport, PollFailure>),
+    /// Changes of an endpoint's prefix cache were read.
+    CacheRead(EndpointId, Result<CacheRead, PollFailure>),
     /// An endpoint was given an order.
     Ordered(EndpointId, OrderAnswer),
     /// The log was read.
@@ -250,6 +253,15 @@
     pub age: Duration,
 }
 
+/// Changes of an endpoint's prefix cache; some may be missing.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CacheRead {
+    /// Changes, in the order of their numbers.
+    pub events: Vec<CacheEvent>,
+    /// Number to read from next.
+    pub next: u64,
+}
+
 /// Why an endpoint gave no report.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PollFailure {
--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -5,6 +5,7 @@
 //! same identity, options and events do the same things. [`Event::Tick`] is due at least every
 //! [`TICK_INTERVAL`]; a driver in virtual time needs no other timer.
 
+mod caches;
 mod callers;
 mod claims;
 mod fleet;
@@ -41,6 +42,7 @@
 use crate::id::PoolId;
 use crate::id::RequestId;
 use crate::id::Revision;
+use crate::instance::caches::Followed;
 use crate::lease::Leases;
 use crate::limits::Limits;
 use crate::membership::Member;
@@ -134,6 +136,7 @@
     requests: IndexMap<RequestId, Active>,
     attempts: IndexMap<AttemptId, RequestId>,
     router: Router,
+    caches: IndexMap<EndpointId, Followed>,
     retries: RetryPolicy,
     quarantine: Quarantine,
     limits: Limits,
@@ -194,6 +197,7 @@
             stewards: Stewards::new(seed),
             requests: IndexMap::new(),
             attempts: IndexMap::new(),
+            caches: IndexMap::new(),
             router: Router::new(identity.availability_zone.clone()),
             retries: RetryPolicy::new(seed),
             quarantine: Quarantine::new(SUSPECT_RETENTION),
@@ -229,6 +233,7 @@
             Event::CallerGone(ticket) => self.caller_gone(now, ticket),
             Event::Attempt(attempt, event) => self.attempt_event(now, &attempt, event),
             Event::Polled(endpoint, result) => self.polled(now, &endpoint, result),
+            Event::CacheRead(endpoint, result) => self.cache_read(&endpoint, result),
             Event::Ordered(endpoint, answer) => self.ordered(now, &endpoint, answer),
             Event::LogRead(stream, result) => self.log_read(now, stream, result),
             Event::Appended(append, result) => self.appended(append, result),
@@ -254,6 +259,7 @@
     fn tick(&mut self, now: Timestamp) {
         self.tick_fleet(now);
         self.tick_requests(now);
+        self.tick_caches(now);
         self.with_steps(now, |steps, view, out| steps.tick(now, view, out));
         self.finish_shutdown(now);
     }
--- a/wisteriaford_core/src/instance/requests/ending.rs
+++ b/wisteriaford_core/src/instance/requests/ending.rs
@@ -116,10 +116,12 @@
             }
             Phase::Claiming(running) => self.give_back(now, active, running, false),
             Phase::Running(running) => {
-                self.effects.push(Effect::Cancel {
-                    attempt: running.attempt.clone(),
-                    address: running.address.clone(),
-                });
+                if matches!(active.request.work, Work::Generate(_)) {
+                    self.effects.push(Effect::Cancel {
+                        attempt: running.attempt.clone(),
+                        address: running.address.clone(),
+                    });
+                }
                 self.give_back(now, active, running, false);
             }
             Phase::BackingOff(_) => {}
--- a/wisteriaford_core/src/instance/requests/running.rs
+++ b/wisteriaford_core/src/instance/requests/running.rs
@@ -30,6 +30,10 @@
 use crate::retry::RetryDecision;
 use crate::step::FinishedSample;
 use crate::time::Timestamp;
+use crate::work::Work;
+
+/// Time that a connection outlives the silence after which its attempt is given up.
+const SILENCE_RESERVE: Duration = Duration::from_secs(1);
 
 impl Instance {
     pub(in crate::instance) fn dispatch(
@@ -85,6 +89,11 @@
         running.progress_at = now;
         active.may_have_run = true;
         let from_token = active.partial.tokens();
+        let pool = self.settings.pools.get(&active.request.pool);
+        let silence_timeout = match active.request.work {
+            Work::Generate(_) => pool.map_or(Duration::ZERO, |pool| pool.silence_timeout),
+            Work::Call(_) => active.request.deadline.since(now),
+        };
         let attempt = Attempt {
             id: running.attempt.clone(),
             request: request.clone(),
@@ -93,11 +102,13 @@
             work: active.request.work.clone(),
             priority: active.priority,
             from_token,
+            silence_timeout: silence_timeout + SILENCE_RESERVE,
         };
         let decision = Decision::Sent {
             endpoint: attempt.endpoint.clone(),
             from_token,
         };
+        self.follow_cache(now, &attempt.endpoint);
         self.counters.add(Counter::Attempts, 1);
         if from_token > 0 {
             self.counters.add(Counter::Resumes, 1);
--- a/wisteriaford_fakes/src/fleet/border.rs
+++ b/wisteriaford_fakes/src/fleet/border.rs
@@ -8,6 +8,7 @@
 use wisteriaford_core::effect::Effect;
 use wisteriaford_core::event::AttemptEvent;
 use wisteriaford_core::event::AttemptFailure;
+use wisteriaford_core::event::CacheRead;
 use wisteriaford_core::event::EndpointReport;
 use wisteriaford_core::event::Event;
 use wisteriaford_core::event::LogStream;
@@ -63,6 +64,14 @@
                 let event = Event::Polled(endpoint, result);
                 self.deliver(self.now + delay, id, event);
             }
+            Effect::ReadCache { endpoint, from, .. } => {
+                let at = self.now + self.settings.region_latency * 2;
+                let read = CacheRead {
+                    events: Vec::new(),
+                    next: from,
+                };
+                self.deliver(at, id, Event::CacheRead(endpoint, Ok(read)));
+            }
             Effect::Order {
                 endpoint,
                 address,
--- a/wisteriafordd/src/endpoint.rs
+++ b/wisteriafordd/src/endpoint.rs
@@ -14,6 +14,7 @@
 use wisteriaford_core::effect::Attempt;
 use wisteriaford_core::event::AttemptEvent;
 use wisteriaford_core::event::AttemptFailure;
+use wisteriaford_core::event::CacheRead;
 use wisteriaford_core::event::EndpointReport;
 use wisteriaford_core::event::Event;
 use wisteriaford_core::event::OrderAnswer;
@@ -22,6 +23,8 @@
 use wisteriaford_core::id::Fence;
 use wisteriaford_core::id::Incarnation;
 use wisteriaford_core::id::Version;
+use wisteriaford_core::routing::CacheChange;
+use wisteriaford_core::routing::CacheEvent;
 use wisteriaford_core::work::Call;
 use wisteriaford_core::work::Generation;
 use wisteriaford_core::work::Work;
@@ -92,6 +95,26 @@
     request_id: &'a str,
 }
 
+#[derive(Deserialize)]
+struct CacheBody {
+    events: Vec<CacheEventBody>,
+    next: u64,
+}
+
+#[derive(Deserialize)]
+struct CacheEventBody {
+    seq: u64,
+    kind: CacheKind,
+    prefix_hash: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum CacheKind {
+    Stored,
+    Evicted,
+}
+
 #[derive(Deserialize)]
 struct Accepted {}
 
@@ -113,7 +136,8 @@
 }
 
 /// Runs an attempt to its end and reports what comes back.
-pub(crate) fn run_attempt(attempt: &Attempt, timeout: Duration, inputs: &Sender<Input>) {
+pub(crate) fn run_attempt(attempt: &Attempt, inputs: &Sender<Input>) {
+    let timeout = attempt.silence_timeout;
     let report = |event| {
         let event = Event::Attempt(attempt.id.clone(), event);
         inputs.send(Input::Event(event)).is_ok()
@@ -259,12 +283,40 @@
             leaving: state.leaving,
             age: Duration::from_millis(state.age_ms),
         }),
-        Err(HttpError::NotConnected) => Err(PollFailure::Refused),
-        Err(HttpError::Lost(_)) => Err(PollFailure::TimedOut),
-        Err(HttpError::Status { .. } | HttpError::Malformed) => Err(PollFailure::Malformed),
+        Err(error) => Err(poll_failure(&error)),
     }
 }
 
+fn poll_failure(error: &HttpError) -> PollFailure {
+    match error {
+        HttpError::NotConnected => PollFailure::Refused,
+        HttpError::Lost(_) => PollFailure::TimedOut,
+        HttpError::Status { .. } | HttpError::Malformed => PollFailure::Malformed,
+    }
+}
+
+/// Asks an endpoint for the changes of its prefix cache.
+pub(crate) fn read_cache(
+    address: &str,
+    from: u64,
+    timeout: Duration,
+) -> Result<CacheRead, PollFailure> {
+    let url = format!("http://{address}/cache-events?from={from}");
+    let body: CacheBody = http::get(timeout, &url).map_err(|error| poll_failure(&error))?;
+    let events = body.events.into_iter().map(|event| CacheEvent {
+        sequence: event.seq,
+        change: match event.kind {
+            CacheKind::Stored => CacheChange::Stored,
+            CacheKind::Evicted => CacheChange::Evicted,
+        },
+        prefix_hash: event.prefix_hash,
+    });
+    Ok(CacheRead {
+        events: events.collect(),
+        next: body.next,
+    })
+}
+
 /// Orders an endpoint to reach a version.
 pub(crate) fn order(
     address: &str,
--- a/wisteriafordd/src/runtime.rs
+++ b/wisteriafordd/src/runtime.rs
@@ -217,6 +217,15 @@
             Effect::Poll { endpoint, address } => {
                 self.workers.submit(Job::Poll { endpoint, address });
             }
+            Effect::ReadCache {
+                endpoint,
+                address,
+                from,
+            } => self.workers.submit(Job::ReadCache {
+                endpoint,
+                address,
+                from,
+            }),
             Effect::Order {
                 endpoint,
                 address,
--- a/wisteriafordd/src/worker.rs
+++ b/wisteriafordd/src/worker.rs
@@ -28,10 +28,20 @@
 use crate::platform;
 use crate::runtime::Input;
 
-/// Threads that call endpoints; a silent endpoint holds one for the silence timeout.
-const ENDPOINT_THREADS: usize = 8;
-/// Threads that call the platform and scorers.
-const PLATFORM_THREADS: usize = 6;
+/// Threads that poll endpoints; a silent endpoint holds one for the poll timeout.
+const POLL_THREADS: usize = 8;
+/// Threads that give orders to endpoints and cancel attempts.
+const ENDPOINT_THREADS: usize = 4;
+/// Threads that append to the log.
+const APPEND_THREADS: usize = 4;
+/// Threads that ask the weight store and the list of instances.
+const PLATFORM_THREADS: usize = 2;
+/// Threads that call scorers.
+const SCORER_THREADS: usize = 4;
+/// Polls that wait for a thread; those beyond are dropped, as they come again.
+const MAX_POLLS_WAITING: usize = 256;
+/// Longest wait for the answer of an endpoint to a poll.
+const MAX_POLL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a failed read of the log.
 const LOG_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -62,6 +72,12 @@
         endpoint: EndpointId,
         address: CompactString,
     },
+    /// Ask an endpoint for the changes of its prefix cache.
+    ReadCache {
+        endpoint: EndpointId,
+        address: CompactString,
+        from: u64,
+    },
     /// Order an endpoint to reach a version.
     Order {
         endpoint: EndpointId,
@@ -88,10 +104,14 @@
 }
 
 /// Threads that call endpoints and the platform; they end when this is dropped.
+///
+/// Each kind of call has threads of its own, so that one service that is silent holds up no other.
 pub(crate) struct Workers {
-    endpoint_jobs: Sender<Job>,
-    platform_jobs: Sender<Job>,
-    addresses: Arc<Addresses>,
+    polls: Sender<Job>,
+    endpoint_calls: Sender<Job>,
+    appends: Sender<Job>,
+    platform_polls: Sender<Job>,
+    scores: Sender<Job>,
     inputs: Sender<Input>,
 }
 
@@ -99,11 +119,15 @@
     /// Starts the threads.
     pub(crate) fn start(addresses: Addresses, inputs: &Sender<Input>) -> Self {
         let addresses = Arc::new(addresses);
-        let pool = |threads| start_pool(threads, &addresses, inputs);
+        let pool = |threads, channel| start_pool(threads, channel, &addresses, inputs);
+        let polls = || crossbeam::channel::bounded(MAX_POLLS_WAITING);
+        let calls = crossbeam::channel::unbounded;
         let workers = Self {
-            endpoint_jobs: pool(ENDPOINT_THREADS),
-            platform_jobs: pool(PLATFORM_THREADS),
-            addresses: Arc::clone(&addresses),
+            polls: pool(POLL_THREADS, polls()),
+            endpoint_calls: pool(ENDPOINT_THREADS, calls()),
+            appends: pool(APPEND_THREADS, calls()),
+            platform_polls: pool(PLATFORM_THREADS, polls()),
+            scores: pool(SCORER_THREADS, calls()),
             inputs: inputs.clone(),
         };
         for stream in LogStream::ALL {
@@ -116,12 +140,11 @@
 
     /// Runs an attempt on a thread of its own.
     pub(crate) fn open(&self, attempt: Attempt) {
-        let timeout = self.addresses.silence_timeout;
         let inputs = self.inputs.clone();
         let id = attempt.id.clone();
         let spawned = thread::Builder::new()
             .name(format!("attempt {id}"))
-            .spawn(move || endpoint::run_attempt(&attempt, timeout, &inputs));
+            .spawn(move || endpoint::run_attempt(&attempt, &inputs));
         if spawned.is_err() {
             let failed = AttemptEvent::Failed(AttemptFailure::NotConnected);
             let event = Event::Attempt(id, failed);
@@ -129,24 +152,29 @@
         }
     }
 
-    /// Hands a call to the next free thread.
+    /// Hands a call to the next free thread of its kind; polls that find none are dropped.
     pub(crate) fn submit(&self, job: Job) {
         let jobs = match job {
-            Job::Cancel { .. } | Job::Poll { .. } | Job::Order { .. } => &self.endpoint_jobs,
-            Job::Append { .. } | Job::PollModel(_) | Job::PollInstances | Job::Score { .. } => {
-                &self.platform_jobs
-            }
+            Job::Poll { .. } | Job::ReadCache { .. } => &self.polls,
+            Job::Cancel { .. } | Job::Order { .. } => &self.endpoint_calls,
+            Job::Append { .. } => &self.appends,
+            Job::PollModel(_) | Job::PollInstances => &self.platform_polls,
+            Job::Score { .. } => &self.scores,
         };
-        // The threads live as long as this sender.
-        let _ = jobs.send(job);
+        // Only the channels of polls have a bound, and polls come again.
+        let _ = jobs.try_send(job);
     }
 }
 
-fn start_pool(threads: usize, addresses: &Arc<Addresses>, inputs: &Sender<Input>) -> Sender<Job> {
-    let (sender, receiver) = crossbeam::channel::unbounded();
+fn start_pool(
+    threads: usize,
+    (sender, receiver): (Sender<Job>, Receiver<Job>),
+    addresses: &Arc<Addresses>,
+    inputs: &Sender<Input>,
+) -> Sender<Job> {
     for _ in 0..threads {
         let addresses = Arc::clone(addresses);
-        let receiver: Receiver<Job> = receiver.clone();
+        let receiver = receiver.clone();
         let inputs = inputs.clone();
         thread::spawn(move || {
             for job in receiver {
@@ -164,15 +192,24 @@
 
 fn run(addresses: &Addresses, job: Job) -> Option<Event> {
     let timeout = addresses.silence_timeout;
+    let poll_timeout = timeout.min(MAX_POLL_TIMEOUT);
     match job {
         Job::Cancel { attempt, address } => {
             endpoint::cancel(&address, &attempt, timeout);
             None
         }
         Job::Poll { endpoint, address } => {
-            let report = endpoint::poll(&address, timeout);
+            let report = endpoint::poll(&address, poll_timeout);
             Some(Event::Polled(endpoint, report))
         }
+        Job::ReadCache {
+            endpoint,
+            address,
+            from,
+        } => {
+            let result = endpoint::read_cache(&address, from, poll_timeout);
+            Some(Event::CacheRead(endpoint, result))
+        }
         Job::Order {
             endpoint,
             address,
