--- a/wisteriaford_fakes/src/engine.rs
+++ b/wisteriaford_fakes/src/engine.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use wisteriaford_core::event::CacheRead;
 use wisteriaford_core::event::EndpointReport;
 use wisteriaford_core::event::OrderAnswer;
 use wisteriaford_core::hash::hash_parts;
@@ -11,6 +12,7 @@
 use wisteriaford_core::id::Incarnation;
 use wisteriaford_core::id::InstanceId;
 use wisteriaford_core::id::Version;
+use wisteriaford_core::routing::CacheEvent;
 use wisteriaford_core::work::Generation;
 
 /// Shortest answer, in tokens.
@@ -74,6 +76,8 @@
     pub begun: u64,
     /// Crashes so far.
     pub crashes: u64,
+    /// Changes of its prefix cache that it publishes, in the order of their numbers.
+    pub cache_events: Vec<CacheEvent>,
     pub(crate) incarnation: Incarnation,
     pub(crate) version: Version,
     pub(crate) loading: Option<Version>,
@@ -107,6 +111,7 @@
             crash_marker: None,
             begun: 0,
             crashes: 0,
+            cache_events: Vec::new(),
             incarnation: Incarnation(1),
             version: settings.start_version,
             loading: None,
@@ -149,6 +154,13 @@
         }
     }
 
+    pub(crate) fn read_cache(&self, from: u64) -> CacheRead {
+        let events = self.cache_events.iter();
+        let events: Vec<CacheEvent> = events.filter(|e| e.sequence >= from).copied().collect();
+        let next = events.last().map_or(from, |event| event.sequence + 1);
+        CacheRead { events, next }
+    }
+
     /// Takes an order; returns whether a load begins.
     pub(crate) fn order(&mut self, fence: Fence, version: Version) -> (OrderAnswer, bool) {
         if self.settings.honours_fencing && fence < self.highest_fence {
--- a/wisteriaford_fakes/src/fleet/border.rs
+++ b/wisteriaford_fakes/src/fleet/border.rs
@@ -8,7 +8,6 @@
 use wisteriaford_core::effect::Effect;
 use wisteriaford_core::event::AttemptEvent;
 use wisteriaford_core::event::AttemptFailure;
-use wisteriaford_core::event::CacheRead;
 use wisteriaford_core::event::EndpointReport;
 use wisteriaford_core::event::Event;
 use wisteriaford_core::event::LogStream;
@@ -64,13 +63,17 @@
                 let event = Event::Polled(endpoint, result);
                 self.deliver(self.now + delay, id, event);
             }
-            Effect::ReadCache { endpoint, from, .. } => {
+            Effect::ReadCache {
+                endpoint,
+                address,
+                from,
+            } => {
                 let at = self.now + self.settings.region_latency * 2;
-                let read = CacheRead {
-                    events: Vec::new(),
-                    next: from,
-                };
-                self.deliver(at, id, Event::CacheRead(endpoint, Ok(read)));
+                let engine = self.engines.get(&address);
+                let engine = engine.filter(|engine| !engine.is_down);
+                let read = engine.map(|engine| engine.read_cache(from));
+                let result = read.ok_or(PollFailure::Refused);
+                self.deliver(at, id, Event::CacheRead(endpoint, result));
             }
             Effect::Order {
                 endpoint,
--- /dev/null
+++ b/wisteriaford_fakes/tests/caches.rs
@@ -0,0 +1,84 @@
+//! Prefix affinity by the cache events of the engines.
+
+#[path = "support/small_fleet.rs"]
+mod small_fleet;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use wisteriaford_core::event::CallerRequest;
+use wisteriaford_core::id::InstanceId;
+use wisteriaford_core::id::RequestId;
+use wisteriaford_core::reply::Reply;
+use wisteriaford_core::routing::CacheChange;
+use wisteriaford_core::routing::CacheEvent;
+use wisteriaford_core::work::Generation;
+use wisteriaford_core::work::Work;
+use wisteriaford_fakes::Fleet;
+
+use crate::small_fleet::fleet;
+use crate::small_fleet::generation;
+
+const PROMPT: &str = "a prompt with a prefix";
+
+fn event(sequence: u64, change: CacheChange) -> CacheEvent {
+    let work = Work::Generate(Generation {
+        prompt: PROMPT.into(),
+        seed: 0,
+        max_tokens: 1,
+    });
+    CacheEvent {
+        sequence,
+        change,
+        prefix_hash: work.prefix_hash().unwrap(),
+    }
+}
+
+/// Runs a generation and returns why its endpoints were chosen.
+fn reasons(fleet: &mut Fleet, instance: &InstanceId) -> Vec<String> {
+    fleet.call(instance, generation(PROMPT)).unwrap();
+    fleet.run_for(Duration::from_secs(20));
+    let answers = fleet.take_answers();
+    let Reply::Generated(generated) = &answers[0].reply else {
+        panic!("refused: {:?}", answers[0].reply);
+    };
+    explain(fleet, instance, generated.request.clone())
+}
+
+fn explain(fleet: &mut Fleet, instance: &InstanceId, request: RequestId) -> Vec<String> {
+    let ask = CallerRequest::Explain(request);
+    fleet.call(instance, ask).unwrap();
+    fleet.run_for(Duration::from_millis(1));
+    let answers = fleet.take_answers();
+    let Reply::Explained(Some(decisions)) = &answers[0].reply else {
+        panic!("not explained: {:?}", answers[0].reply);
+    };
+    let asked = decisions.iter().filter(|(_, d)| d.kind() == "asked");
+    asked.map(|(_, decision)| decision.to_string()).collect()
+}
+
+#[rstest]
+#[case::stored(&[(0, CacheChange::Stored)], true)]
+#[case::evicted(&[(0, CacheChange::Stored), (1, CacheChange::Evicted)], false)]
+#[case::lost_in_a_gap(&[(0, CacheChange::Stored), (5, CacheChange::Evicted)], false)]
+fn cached_prefix_is_preferred(#[case] changes: &[(u64, CacheChange)], #[case] is_cached: bool) {
+    let (mut fleet, instances) = fleet();
+    // The first generations make the entry follow both engines.
+    reasons(&mut fleet, &instances[0]);
+    reasons(&mut fleet, &instances[0]);
+
+    for engine in fleet.engines.values_mut() {
+        let events = changes
+            .iter()
+            .map(|&(number, change)| event(number, change));
+        engine.cache_events.extend(events);
+    }
+    fleet.run_for(Duration::from_secs(5));
+
+    let reasons = reasons(&mut fleet, &instances[0]);
+    assert_eq!(
+        reasons[0].ends_with("cached_prefix"),
+        is_cached,
+        "{reasons:?}"
+    );
+}
