--- /dev/null
+++ b/wisteriafordd/src/lib.rs
@@ -0,0 +1,17 @@
+//! Daemon of the wisteriaford rollout service.
+//!
+//! The library holds all of it, so that tests reach what the binary is made of.
+
+pub mod app;
+pub mod arguments;
+mod clock;
+mod endpoint;
+mod http;
+mod logger;
+pub mod metrics;
+pub mod pages;
+mod peers;
+mod platform;
+pub mod runtime;
+pub mod server;
+mod worker;
--- a/wisteriafordd/src/metrics.rs
+++ b/wisteriafordd/src/metrics.rs
@@ -17,7 +17,7 @@
 use crate::runtime::Shared;
 
 /// Meters of the daemon and the registry that they are read from.
-pub(crate) struct Metrics {
+pub struct Metrics {
     registry: Registry,
     _provider: SdkMeterProvider,
 }
@@ -28,7 +28,7 @@
     /// # Errors
     ///
     /// Fails if the exporter cannot register itself.
-    pub(crate) fn start(shared: &Arc<Shared>) -> Result<Self, OTelSdkError> {
+    pub fn start(shared: &Arc<Shared>) -> Result<Self, OTelSdkError> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -46,7 +46,8 @@
     }
 
     /// Returns all metrics in the Prometheus text form.
-    pub(crate) fn text(&self) -> Vec<u8> {
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
         let families = self.registry.gather();
         // Writing into memory does not fail.
--- a/wisteriafordd/src/runtime.rs
+++ b/wisteriafordd/src/runtime.rs
@@ -52,7 +52,7 @@
 
 /// State that the loop shares with other threads.
 #[derive(Debug)]
-pub(crate) struct Shared {
+pub struct Shared {
     /// Newest snapshot of the core.
     pub(crate) snapshot: ArcSwap<Snapshot>,
     /// Bytes sent to peers.
@@ -65,7 +65,8 @@
 
 impl Shared {
     /// Returns the state before the first event.
-    pub(crate) fn new(shutdown_asked: Arc<AtomicBool>) -> Self {
+    #[must_use]
+    pub fn new(shutdown_asked: Arc<AtomicBool>) -> Self {
         let snapshot = Snapshot {
             ready: Err(NotReady::NoConfiguration),
             counters: Counters::default(),
