Let the fakes remember who made which tokens, and send lines late or twice

A proof that labels are true needs to know which version made each token, whatever the instances say. Lines that come late or twice show that an answer stays whole. An engine that says that it is leaving refuses new work, as its protocol says; what is counted as begun stays the same.

--- a/wisteriaford_fakes/src/fleet.rs
+++ b/wisteriaford_fakes/src/fleet.rs
@@ -3,6 +3,7 @@
 mod border;
 mod faults;
 
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,6 +16,7 @@
 use wisteriaford_core::event::Identity;
 use wisteriaford_core::event::LogStream;
 use wisteriaford_core::event::Ticket;
+use wisteriaford_core::hash::hash_parts;
 use wisteriaford_core::id::AttemptId;
 use wisteriaford_core::id::AvailabilityZone;
 use wisteriaford_core::id::Incarnation;
@@ -122,6 +124,13 @@
     LoadDone(CompactString, u64),
 }
 
+/// Tokens that engines made, and the version that made them, by answer.
+type Made = IndexMap<u64, Vec<(Range<u32>, Version)>>;
+
+fn answer_key(prompt: &str, seed: u64) -> u64 {
+    hash_parts(&[prompt.as_bytes(), &seed.to_le_bytes()])
+}
+
 /// A fleet of instances and what they stand between, in virtual time.
 pub struct Fleet {
     /// Fake of the log.
@@ -142,6 +151,12 @@
     pub notes: Vec<(Timestamp, InstanceId, Note)>,
     /// Processor time of each instance, if it is measured.
     pub handle_time: IndexMap<InstanceId, Duration>,
+    /// Whether it is remembered which version made which tokens, for [`Fleet::made`].
+    pub remembers_made: bool,
+    /// Token lines that arrive late, after those that follow them.
+    pub late_lines: u32,
+    /// Token lines that arrive twice.
+    pub repeat_lines: u32,
     /// Messages that each instance sent, by the name of their kind.
     pub sent: IndexMap<(InstanceId, &'static str), Sent>,
     settings: FleetSettings,
@@ -153,6 +168,7 @@
     next_incarnation: u64,
     cuts: Vec<(InstanceId, InstanceId)>,
     loads_running: usize,
+    made: Made,
 }
 
 impl Fleet {
@@ -169,6 +185,9 @@
             zones: IndexMap::new(),
             notes: Vec::new(),
             handle_time: IndexMap::new(),
+            remembers_made: false,
+            late_lines: 0,
+            repeat_lines: 0,
             sent: IndexMap::new(),
             settings,
             now: Timestamp::from_millis(1_000_000),
@@ -179,6 +198,7 @@
             next_incarnation: 1,
             cuts: Vec::new(),
             loads_running: 0,
+            made: Made::new(),
         }
     }
 
@@ -272,6 +292,17 @@
         self.deliver(self.now, instance, Event::Shutdown);
     }
 
+    /// Returns whether an engine that ran a version made these tokens of an answer.
+    #[must_use]
+    pub fn made(&self, prompt: &str, seed: u64, tokens: Range<u32>, version: Version) -> bool {
+        let lines = self.made.get(&answer_key(prompt, seed));
+        let by = |token: u32| {
+            let mut lines = lines.into_iter().flatten();
+            lines.any(|(line, by)| line.contains(&token) && *by == version)
+        };
+        tokens.into_iter().all(by)
+    }
+
     /// Takes the replies given since the last call.
     pub fn take_answers(&mut self) -> Vec<Answer> {
         std::mem::take(&mut self.answers)
--- a/wisteriaford_fakes/src/fleet/border.rs
+++ b/wisteriaford_fakes/src/fleet/border.rs
@@ -29,6 +29,7 @@
 use super::Answer;
 use super::Fleet;
 use super::Item;
+use super::answer_key;
 use crate::engine::Stream;
 use crate::engine::expected_text;
 use crate::engine::expected_tokens;
@@ -36,6 +37,8 @@
 
 /// Time after which a call to something silent is given up.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Delay of a line that arrives late: longer than the time between two lines.
+const LATE_BY: Duration = Duration::from_millis(450);
 /// Pause before an engine asks a busy weight store again.
 const STORE_RETRY: Duration = Duration::from_millis(250);
 
@@ -185,6 +188,10 @@
             return;
         }
         engine.begun += 1;
+        if engine.is_leaving {
+            self.fail(id, &attempt.id, AttemptFailure::Unavailable);
+            return;
+        }
         let running = engine.streams.values().filter(|s| !s.is_waiting).count();
         let is_waiting = running >= engine.settings.slots;
         let stream = Stream {
@@ -256,23 +263,36 @@
         version: Version,
     ) {
         let at = self.now + self.hop(&stream.to, address);
-        let mut deliver = |event| {
+        let mut line_at = at;
+        if take_one(&mut self.late_lines) {
+            line_at = at + LATE_BY;
+        }
+        let is_repeated = take_one(&mut self.repeat_lines);
+        let mut push = |at, event| {
             let event = Event::Attempt(attempt.clone(), event);
             let item = Item::Event(stream.to.clone(), stream.run, event);
             self.schedule.push(at, item);
         };
         if to_token > from_token {
             let work = &stream.work;
-            deliver(AttemptEvent::Tokens {
+            if self.remembers_made {
+                let made = self.made.entry(answer_key(&work.prompt, work.seed));
+                made.or_default().push((from_token..to_token, version));
+            }
+            let tokens = AttemptEvent::Tokens {
                 from_token,
                 tokens: to_token - from_token,
                 text: expected_text(&work.prompt, work.seed, from_token, to_token),
                 version,
-            });
+            };
+            if is_repeated {
+                push(line_at + LATE_BY, tokens.clone());
+            }
+            push(line_at, tokens);
         }
         if to_token >= stream.total_tokens {
             let total_tokens = stream.total_tokens;
-            deliver(AttemptEvent::Finished { total_tokens });
+            push(at, AttemptEvent::Finished { total_tokens });
         }
     }
 
@@ -394,6 +414,12 @@
     }
 }
 
+fn take_one(left: &mut u32) -> bool {
+    let is_due = *left > 0;
+    *left = left.saturating_sub(1);
+    is_due
+}
+
 fn kind_of(message: &PeerMessage) -> &'static str {
     match &message.body {
         Some(Body::Membership(_)) => "membership",
