--- a/wisteriaford_fakes/tests/caches.rs
+++ b/wisteriaford_fakes/tests/caches.rs
@@ -21,9 +21,9 @@
 
 const PROMPT: &str = "a prompt with a prefix";
 
-fn event(sequence: u64, change: CacheChange) -> CacheEvent {
+fn event(sequence: u64, change: CacheChange, prompt: &str) -> CacheEvent {
     let work = Work::Generate(Generation {
-        prompt: PROMPT.into(),
+        prompt: prompt.into(),
         seed: 0,
         max_tokens: 1,
     });
@@ -58,10 +58,20 @@
 }
 
 #[rstest]
-#[case::stored(&[(0, CacheChange::Stored)], true)]
-#[case::evicted(&[(0, CacheChange::Stored), (1, CacheChange::Evicted)], false)]
-#[case::lost_in_a_gap(&[(0, CacheChange::Stored), (5, CacheChange::Evicted)], false)]
-fn cached_prefix_is_preferred(#[case] changes: &[(u64, CacheChange)], #[case] is_cached: bool) {
+#[case::stored(&[event(0, CacheChange::Stored, PROMPT)], true)]
+#[case::other_stored(
+    &[event(0, CacheChange::Stored, PROMPT), event(1, CacheChange::Stored, "other")],
+    true
+)]
+#[case::evicted(
+    &[event(0, CacheChange::Stored, PROMPT), event(1, CacheChange::Evicted, PROMPT)],
+    false
+)]
+#[case::lost_in_a_gap(
+    &[event(0, CacheChange::Stored, PROMPT), event(5, CacheChange::Stored, "other")],
+    false
+)]
+fn cached_prefix_is_preferred(#[case] events: &[CacheEvent], #[case] is_cached: bool) {
     let (mut fleet, instances) = fleet();
     // The first generations make the entry follow both engines.
     reasons(&mut fleet, &instances[0]);
