--- a/wisteriaford_fakes/tests/caches.rs
+++ b/wisteriaford_fakes/tests/caches.rs
@@ -78,10 +78,7 @@
     reasons(&mut fleet, &instances[0]);
 
     for engine in fleet.engines.values_mut() {
-        let events = changes
-            .iter()
-            .map(|&(number, change)| event(number, change));
-        engine.cache_events.extend(events);
+        engine.cache_events.extend_from_slice(events);
     }
     fleet.run_for(Duration::from_secs(5));
 
