--- a/wisteriafordd/src/runtime.rs
+++ b/wisteriafordd/src/runtime.rs
@@ -25,7 +25,6 @@
 use crate::clock::Clock;
 use crate::logger;
 use crate::peers::Peers;
-use crate::worker::Job;
 use crate::worker::Workers;
 
 /// How often unused connections to peers are closed.
@@ -212,54 +211,16 @@
                 }
             }
             Effect::Open(attempt) => self.workers.open(attempt),
-            Effect::Cancel { attempt, address } => {
-                self.workers.submit(Job::Cancel { attempt, address });
-            }
-            Effect::Poll { endpoint, address } => {
-                self.workers.submit(Job::Poll { endpoint, address });
-            }
-            Effect::ReadCache {
-                endpoint,
-                address,
-                from,
-            } => self.workers.submit(Job::ReadCache {
-                endpoint,
-                address,
-                from,
-            }),
-            Effect::Order {
-                endpoint,
-                address,
-                fence,
-                version,
-            } => self.workers.submit(Job::Order {
-                endpoint,
-                address,
-                fence,
-                version,
-            }),
-            Effect::Append {
-                append,
-                stream,
-                record,
-            } => self.workers.submit(Job::Append {
-                append,
-                stream,
-                record: Box::new(record),
-            }),
-            Effect::PollModel(model) => self.workers.submit(Job::PollModel(model)),
-            Effect::PollInstances => self.workers.submit(Job::PollInstances),
-            Effect::Score {
-                ticket,
-                address,
-                samples,
-            } => self.workers.submit(Job::Score {
-                ticket,
-                address,
-                samples,
-            }),
             Effect::Note(note) => logger::log_note(&note),
             Effect::Exit => return false,
+            Effect::Poll { .. }
+            | Effect::ReadCache { .. }
+            | Effect::Cancel { .. }
+            | Effect::Order { .. }
+            | Effect::Append { .. }
+            | Effect::PollModel(_)
+            | Effect::PollInstances
+            | Effect::Score { .. } => self.workers.submit(effect),
         }
         true
     }
--- a/wisteriafordd/src/worker.rs
+++ b/wisteriafordd/src/worker.rs
@@ -4,25 +4,16 @@
 use std::thread;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
 use prost::Message;
 use wisteriaford_core::effect::Attempt;
-use wisteriaford_core::event::AppendId;
+use wisteriaford_core::effect::Effect;
 use wisteriaford_core::event::AttemptEvent;
 use wisteriaford_core::event::AttemptFailure;
 use wisteriaford_core::event::Event;
 use wisteriaford_core::event::LogStream;
-use wisteriaford_core::id::AttemptId;
-use wisteriaford_core::id::EndpointId;
-use wisteriaford_core::id::Fence;
-use wisteriaford_core::id::ModelId;
 use wisteriaford_core::id::Offset;
-use wisteriaford_core::id::Version;
-use wisteriaford_core::step::ScoreItem;
-use wisteriaford_core::step::ScoreTicket;
-use wisteriaford_proto::record::Record;
 
 use crate::endpoint;
 use crate::platform;
@@ -60,58 +51,15 @@
     pub(crate) silence_timeout: Duration,
 }
 
-/// One call to an endpoint or to the platform.
-pub(crate) enum Job {
-    /// Tell an endpoint to stop an attempt.
-    Cancel {
-        attempt: AttemptId,
-        address: CompactString,
-    },
-    /// Ask an endpoint for its state.
-    Poll {
-        endpoint: EndpointId,
-        address: CompactString,
-    },
-    /// Ask an endpoint for the changes of its prefix cache.
-    ReadCache {
-        endpoint: EndpointId,
-        address: CompactString,
-        from: u64,
-    },
-    /// Order an endpoint to reach a version.
-    Order {
-        endpoint: EndpointId,
-        address: CompactString,
-        fence: Fence,
-        version: Version,
-    },
-    /// Append a record to the log.
-    Append {
-        append: AppendId,
-        stream: LogStream,
-        record: Box<Record>,
-    },
-    /// Ask for the newest version of a model.
-    PollModel(ModelId),
-    /// Ask for the list of instances.
-    PollInstances,
-    /// Have samples scored.
-    Score {
-        ticket: ScoreTicket,
-        address: CompactString,
-        samples: Vec<ScoreItem>,
-    },
-}
-
 /// Threads that call endpoints and the platform; they end when this is dropped.
 ///
 /// Each kind of call has threads of its own, so that one service that is silent holds up no other.
 pub(crate) struct Workers {
-    polls: Sender<Job>,
-    endpoint_calls: Sender<Job>,
-    appends: Sender<Job>,
-    platform_polls: Sender<Job>,
-    scores: Sender<Job>,
+    polls: Sender<Effect>,
+    endpoint_calls: Sender<Effect>,
+    appends: Sender<Effect>,
+    platform_polls: Sender<Effect>,
+    scores: Sender<Effect>,
     inputs: Sender<Input>,
 }
 
@@ -153,32 +101,38 @@
     }
 
     /// Hands a call to the next free thread of its kind; polls that find none are dropped.
-    pub(crate) fn submit(&self, job: Job) {
-        let jobs = match job {
-            Job::Poll { .. } | Job::ReadCache { .. } => &self.polls,
-            Job::Cancel { .. } | Job::Order { .. } => &self.endpoint_calls,
-            Job::Append { .. } => &self.appends,
-            Job::PollModel(_) | Job::PollInstances => &self.platform_polls,
-            Job::Score { .. } => &self.scores,
+    pub(crate) fn submit(&self, effect: Effect) {
+        let jobs = match effect {
+            Effect::Poll { .. } | Effect::ReadCache { .. } => &self.polls,
+            Effect::Cancel { .. } | Effect::Order { .. } => &self.endpoint_calls,
+            Effect::Append { .. } => &self.appends,
+            Effect::PollModel(_) | Effect::PollInstances => &self.platform_polls,
+            Effect::Score { .. } => &self.scores,
+            // The loop carries these out itself.
+            Effect::Send { .. }
+            | Effect::Reply(..)
+            | Effect::Open(_)
+            | Effect::Note(_)
+            | Effect::Exit => return,
         };
         // Only the channels of polls have a bound, and polls come again.
-        let _ = jobs.try_send(job);
+        let _ = jobs.try_send(effect);
     }
 }
 
 fn start_pool(
     threads: usize,
-    (sender, receiver): (Sender<Job>, Receiver<Job>),
+    (sender, receiver): (Sender<Effect>, Receiver<Effect>),
     addresses: &Arc<Addresses>,
     inputs: &Sender<Input>,
-) -> Sender<Job> {
+) -> Sender<Effect> {
     for _ in 0..threads {
         let addresses = Arc::clone(addresses);
         let receiver = receiver.clone();
         let inputs = inputs.clone();
         thread::spawn(move || {
-            for job in receiver {
-                let event = run(&addresses, job);
+            for effect in receiver {
+                let event = run(&addresses, effect);
                 if let Some(event) = event
                     && inputs.send(Input::Event(event)).is_err()
                 {
@@ -190,19 +144,19 @@
     sender
 }
 
-fn run(addresses: &Addresses, job: Job) -> Option<Event> {
+fn run(addresses: &Addresses, effect: Effect) -> Option<Event> {
     let timeout = addresses.silence_timeout;
     let poll_timeout = timeout.min(MAX_POLL_TIMEOUT);
-    match job {
-        Job::Cancel { attempt, address } => {
+    match effect {
+        Effect::Cancel { attempt, address } => {
             endpoint::cancel(&address, &attempt, timeout);
             None
         }
-        Job::Poll { endpoint, address } => {
+        Effect::Poll { endpoint, address } => {
             let report = endpoint::poll(&address, poll_timeout);
             Some(Event::Polled(endpoint, report))
         }
-        Job::ReadCache {
+        Effect::ReadCache {
             endpoint,
             address,
             from,
@@ -210,7 +164,7 @@
             let result = endpoint::read_cache(&address, from, poll_timeout);
             Some(Event::CacheRead(endpoint, result))
         }
-        Job::Order {
+        Effect::Order {
             endpoint,
             address,
             fence,
@@ -219,7 +173,7 @@
             let answer = endpoint::order(&address, &addresses.holder, fence, version, timeout);
             Some(Event::Ordered(endpoint, answer))
         }
-        Job::Append {
+        Effect::Append {
             append,
             stream,
             record,
@@ -228,17 +182,17 @@
             let result = platform::append(&addresses.log, stream, data, timeout);
             Some(Event::Appended(append, result))
         }
-        Job::PollModel(model) => {
+        Effect::PollModel(model) => {
             let version =
                 platform::newest_version(&addresses.weight_store, &model, timeout).ok()?;
             Some(Event::Announced(model, version))
         }
-        Job::PollInstances => {
+        Effect::PollInstances => {
             let address = addresses.instance_list.as_ref()?;
             let instances = platform::list_instances(address, timeout).ok()?;
             Some(Event::Listed(instances))
         }
-        Job::Score {
+        Effect::Score {
             ticket,
             address,
             samples,
@@ -246,6 +200,11 @@
             let scores = platform::score(&address, &samples, timeout);
             Some(Event::Scored(ticket, scores))
         }
+        Effect::Send { .. }
+        | Effect::Reply(..)
+        | Effect::Open(_)
+        | Effect::Note(_)
+        | Effect::Exit => None,
     }
 }
 
