Run the whole path as separate processes

The path was only ever tried by hand. wisteriaford_bench gets a library that starts daemons, stand-ins and the tool on free ports, signals them, keeps what they write and ends them with the fleet, and a subcommand quickstart that runs steps, interactive callers, two announcements of weights and a graceful shutdown, and checks every answer whole.

Ports: the daemon must know its own before it starts, so that port 0 does not do; ports are taken below those of outgoing connections, since one of these could otherwise take a port between its choice and its use. Signals go by rustix, which the lock file had already; nix would be a new crate, and the unsafe calls of libc are forbidden here.

--- /dev/null
+++ b/wisteriaford_bench/src/lib.rs
@@ -0,0 +1,4 @@
+//! Trials and measurements of the fleet: as real processes over TCP, and of the decisions alone.
+
+pub mod processes;
+pub mod quickstart;
--- a/wisteriaford_bench/src/main.rs
+++ b/wisteriaford_bench/src/main.rs
@@ -1,3 +1,27 @@
-//! Placeholder.
+//! Program that tries out and measures the fleet.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+use clap::Subcommand;
+use wisteriaford_bench::quickstart;
+
+/// Tries out and measures a fleet of wisteriaford daemons on this machine.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run the whole path as separate processes and check what the users were promised
+    Quickstart(quickstart::Settings),
+}
+
+fn main() -> ExitCode {
+    match Arguments::parse().command {
+        Command::Quickstart(settings) => quickstart::main(&settings),
+    }
+}
--- /dev/null
+++ b/wisteriaford_bench/src/processes.rs
@@ -0,0 +1,22 @@
+//! Real processes of the fleet on this machine: daemons, stand-ins and the tool.
+
+pub mod daemon;
+pub mod error;
+pub mod fleet;
+pub mod http;
+pub mod port;
+pub mod process;
+pub mod standin;
+pub mod wait;
+
+pub use daemon::Daemon;
+pub use daemon::DaemonPlan;
+pub use error::ProcessError;
+pub use error::Result;
+pub use fleet::Fleet;
+pub use fleet::FleetPlan;
+pub use fleet::ToolOutput;
+pub use process::Process;
+pub use process::Signal;
+pub use standin::StandinProcess;
+pub use wait::wait_until;
--- /dev/null
+++ b/wisteriaford_bench/src/processes/fleet.rs
@@ -0,0 +1,471 @@
+//! Whole fleet on this machine: platform, endpoints, daemons.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process;
+use std::process::Command;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use wisteriaford_client::client::Client;
+use wisteriaford_proto::settings::Caller;
+use wisteriaford_proto::settings::Configuration;
+use wisteriaford_proto::settings::Endpoint;
+use wisteriaford_proto::settings::EndpointKind;
+use wisteriaford_proto::settings::LogOutagePolicy;
+use wisteriaford_proto::settings::Pool;
+use wisteriaford_proto::settings::Priority;
+use wisteriaford_proto::settings::Route;
+use wisteriaford_standins::FaultChange;
+
+use crate::processes::daemon::Daemon;
+use crate::processes::daemon::DaemonPlan;
+use crate::processes::error::ProcessError;
+use crate::processes::error::Result;
+use crate::processes::http::EXCHANGE_TIMEOUT;
+use crate::processes::process::program_path;
+use crate::processes::standin::StandinProcess;
+use crate::processes::wait::wait_until;
+
+/// Pool of model engines.
+pub const MODEL_POOL: &str = "restoration";
+/// Model of that pool.
+pub const MODEL: &str = "restorer";
+/// Pool of plain services.
+pub const PLAIN_POOL: &str = "badges";
+/// Interactive caller.
+pub const INTERACTIVE_CALLER: &str = "portal";
+/// Trainer.
+pub const TRAINER: &str = "trainer-a";
+/// Route whose calls may run more than once.
+pub const LOOKUP_ROUTE: &str = "badge-lookup";
+/// Route whose calls run at most once; refused while the log is down.
+pub const SCAN_ROUTE: &str = "badge-scan";
+/// Staleness bound of the pool of model engines, in versions.
+pub const STALENESS_BOUND_VERSIONS: u32 = 2;
+
+const REGION: &str = "tunis-nord";
+const ZONES: [&str; 2] = ["ariana", "la-marsa"];
+const TOOL: &str = "wisteriaford";
+/// Availability of an endpoint that takes requests.
+const AVAILABLE: &str = "serving";
+const ENGINE_SLOTS: u32 = 16;
+const PLAIN_SLOTS: u32 = 64;
+const SILENCE_TIMEOUT_MS: u64 = 2_000;
+const QUARANTINE_MS: u64 = 600_000;
+const LOOKUP_TIMEOUT_MS: u64 = 20_000;
+/// Longest time until something of the fleet comes about; only ends what would hang.
+pub const LONGEST_WAIT: Duration = Duration::from_secs(120);
+
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// How many of each there are.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Daemons, in two availability zones by turns.
+    pub daemons: usize,
+    /// Model engines; every second one ignores fencing numbers.
+    pub engines: usize,
+    /// Plain services.
+    pub plain_services: usize,
+    /// Further arguments of each engine.
+    pub engine_arguments: Vec<String>,
+    /// Further arguments of each plain service.
+    pub plain_arguments: Vec<String>,
+    /// Further arguments of each daemon.
+    pub daemon_arguments: Vec<String>,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            daemons: 3,
+            engines: 2,
+            plain_services: 2,
+            engine_arguments: Vec::new(),
+            plain_arguments: Vec::new(),
+            daemon_arguments: Vec::new(),
+        }
+    }
+}
+
+/// What the tool wrote, and how it ended.
+#[derive(Clone, Debug)]
+pub struct ToolOutput {
+    /// Exit code; none after a signal.
+    pub exit_code: Option<i32>,
+    /// JSON of the standard output; null where it was none.
+    pub json: Value,
+    /// Both outputs as text.
+    pub text: String,
+}
+
+/// Processes of a whole fleet; all end when it is dropped.
+pub struct Fleet {
+    /// Log.
+    pub log: StandinProcess,
+    /// Weight store.
+    pub weight_store: StandinProcess,
+    /// Instance list.
+    pub instance_list: StandinProcess,
+    /// Scorer.
+    pub scorer: StandinProcess,
+    /// Model engines.
+    pub engines: Vec<StandinProcess>,
+    /// Plain services.
+    pub plain_services: Vec<StandinProcess>,
+    /// Daemons.
+    pub daemons: Vec<Daemon>,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts all processes; no configuration is published yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of them does not start.
+    pub fn start(plan: &FleetPlan) -> Result<Self> {
+        let log = StandinProcess::start("log", "log", &[])?;
+        let weight_store =
+            StandinProcess::start("weight-store", "weight-store", &["--model", MODEL])?;
+        let instance_list = StandinProcess::start("instance-list", "instance-list", &[])?;
+        let scorer = StandinProcess::start("scorer", "scorer", &[])?;
+        let engines = start_engines(plan, weight_store.address())?;
+        let plain_services = start_plain_services(plan)?;
+        let mut fleet = Self {
+            log,
+            weight_store,
+            instance_list,
+            scorer,
+            engines,
+            plain_services,
+            daemons: Vec::new(),
+            folder: new_folder()?,
+        };
+        fleet.start_daemons(plan)?;
+        Ok(fleet)
+    }
+
+    /// Starts all processes, publishes the usual configuration and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of them does not start or does not become ready.
+    pub fn start_ready(plan: &FleetPlan) -> Result<Self> {
+        let fleet = Self::start(plan)?;
+        let output = fleet.publish(&fleet.configuration(), &[])?;
+        if output.exit_code != Some(0) {
+            return Err(ProcessError::NotStarted {
+                name: TOOL.to_owned(),
+                output: output.text,
+            });
+        }
+        fleet.wait_until_ready(1)?;
+        Ok(fleet)
+    }
+
+    /// Waits until every daemon is ready, has a revision in force or a later one, knows all
+    /// others and the state of every endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that does not come about.
+    pub fn wait_until_ready(&self, revision: u64) -> Result<()> {
+        wait_until("readiness of all daemons", LONGEST_WAIT, || {
+            self.daemons
+                .iter()
+                .all(|daemon| self.is_settled(daemon, revision))
+        })
+    }
+
+    /// Returns the usual configuration of this fleet.
+    #[must_use]
+    pub fn configuration(&self) -> Configuration {
+        let engines = self.engines.iter().enumerate();
+        let engines = engines.map(|(place, engine)| engine_settings(place, engine));
+        let services = self.plain_services.iter().enumerate();
+        let services = services.map(|(place, service)| plain_settings(place, service));
+        Configuration {
+            pools: pools(self.scorer.address()),
+            endpoints: engines.chain(services).collect(),
+            callers: callers(),
+            routes: routes(),
+        }
+    }
+
+    /// Publishes a configuration by the tool.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tool cannot be run; not if it refuses.
+    pub fn publish(&self, configuration: &Configuration, arguments: &[&str]) -> Result<ToolOutput> {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let path = self.folder.join(format!("configuration-{number}.toml"));
+        let text = toml::to_string(configuration)?;
+        fs::write(&path, text).map_err(|source| ProcessError::File {
+            path: path.clone(),
+            source,
+        })?;
+        let path_text = path.to_string_lossy();
+        let mut all = vec!["publish", &path_text];
+        all.extend_from_slice(arguments);
+        self.tool(&all)
+    }
+
+    /// Runs the tool with addresses of the log and the daemons, and JSON as its output.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be run.
+    pub fn tool(&self, arguments: &[&str]) -> Result<ToolOutput> {
+        let daemons: Vec<String> = self
+            .daemons
+            .iter()
+            .map(|d| d.address().to_string())
+            .collect();
+        let output = Command::new(program_path(TOOL)?)
+            .args(arguments)
+            .args(["--output", "json"])
+            .args(["--log-address", &self.log.address().to_string()])
+            .args(["--daemon", &daemons.join(",")])
+            .output()
+            .map_err(|source| ProcessError::System {
+                name: TOOL.to_owned(),
+                source,
+            })?;
+        let stdout = String::from_utf8_lossy(&output.stdout);
+        let stderr = String::from_utf8_lossy(&output.stderr);
+        Ok(ToolOutput {
+            exit_code: output.status.code(),
+            json: serde_json::from_str(stdout.trim()).unwrap_or_default(),
+            text: format!("{stdout}{stderr}"),
+        })
+    }
+
+    /// Returns a client of all daemons that prefers the one at a place, counted round.
+    #[must_use]
+    pub fn client(&self, preferred: usize) -> Client {
+        let mut addresses: Vec<SocketAddr> = self.daemons.iter().map(Daemon::address).collect();
+        if !addresses.is_empty() {
+            let first = preferred % addresses.len();
+            addresses.rotate_left(first);
+        }
+        Client::new(addresses, EXCHANGE_TIMEOUT)
+    }
+
+    /// Announces new weights.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the weight store does not answer.
+    pub fn announce_weights(&self, version: u64) -> Result<()> {
+        let path = format!("/models/{MODEL}");
+        self.weight_store
+            .post(&path, &json!({"version": version}))?;
+        Ok(())
+    }
+
+    /// Waits until every engine reports a version, or a later one, at every daemon given.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that does not come about.
+    pub fn wait_for_weights(&self, version: u64, daemons: &[usize]) -> Result<()> {
+        wait_until("new weights on every engine", LONGEST_WAIT, || {
+            let mut daemons = daemons.iter().filter_map(|&place| self.daemons.get(place));
+            daemons.all(|daemon| has_version(daemon, version))
+        })
+    }
+
+    fn is_settled(&self, daemon: &Daemon, revision: u64) -> bool {
+        let Ok(status) = daemon.status() else {
+            return false;
+        };
+        let endpoints = self.engines.len() + self.plain_services.len();
+        let known = status
+            .endpoints
+            .iter()
+            .filter(|e| e.availability == AVAILABLE);
+        status.ready
+            && status.revision >= revision
+            && status.members.len() == self.daemons.len()
+            && known.count() == endpoints
+    }
+
+    fn start_daemons(&mut self, plan: &FleetPlan) -> Result<()> {
+        let mut peers: Vec<SocketAddr> = Vec::new();
+        for number in 1..=plan.daemons {
+            let (listen, peer_listen) = Daemon::free_addresses()?;
+            let daemon = Daemon::start(DaemonPlan {
+                id: format!("entry-{number}"),
+                availability_zone: zone(number - 1),
+                region: REGION.to_owned(),
+                listen,
+                peer_listen,
+                peers: peers.clone(),
+                log: self.log.address(),
+                weight_store: self.weight_store.address(),
+                instance_list: self.instance_list.address(),
+                arguments: plan.daemon_arguments.clone(),
+            })?;
+            peers.push(peer_listen);
+            self.daemons.push(daemon);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // What is left of it lies in the folder for temporary files.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn has_version(daemon: &Daemon, version: u64) -> bool {
+    let Ok(status) = daemon.status() else {
+        return false;
+    };
+    let mut engines = status.endpoints.iter().filter(|e| e.pool == MODEL_POOL);
+    engines.all(|engine| engine.version >= version)
+}
+
+fn zone(place: usize) -> String {
+    ZONES[place % ZONES.len()].to_owned()
+}
+
+fn new_folder() -> Result<PathBuf> {
+    let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("wisteriaford-{}-{number}", process::id());
+    let path = env::temp_dir().join(name);
+    fs::create_dir_all(&path).map_err(|source| ProcessError::File {
+        path: path.clone(),
+        source,
+    })?;
+    Ok(path)
+}
+
+fn honours_fencing(place: usize) -> bool {
+    place.is_multiple_of(2)
+}
+
+fn start_engines(plan: &FleetPlan, weight_store: SocketAddr) -> Result<Vec<StandinProcess>> {
+    let weight_store = weight_store.to_string();
+    let mut engines = Vec::new();
+    for place in 0..plan.engines {
+        let mut arguments = vec!["--weight-store", &weight_store, "--model", MODEL];
+        arguments.extend(plan.engine_arguments.iter().map(String::as_str));
+        let name = format!("engine-{}", place + 1);
+        let engine = StandinProcess::start(&name, "engine", &arguments)?;
+        engine.set_faults(&FaultChange {
+            ignore_fencing: Some(!honours_fencing(place)),
+            ..FaultChange::default()
+        })?;
+        engines.push(engine);
+    }
+    Ok(engines)
+}
+
+fn start_plain_services(plan: &FleetPlan) -> Result<Vec<StandinProcess>> {
+    let arguments: Vec<&str> = plan.plain_arguments.iter().map(String::as_str).collect();
+    (1..=plan.plain_services)
+        .map(|number| {
+            let name = format!("badge-service-{number}");
+            StandinProcess::start(&name, "plain-service", &arguments)
+        })
+        .collect()
+}
+
+fn pools(scorer: SocketAddr) -> Vec<Pool> {
+    let model_pool = Pool {
+        name: MODEL_POOL.to_owned(),
+        model: MODEL.to_owned(),
+        staleness_bound_versions: STALENESS_BOUND_VERSIONS,
+        capacity_floor_percent: 50,
+        concurrent_loads: 2,
+        interactive_cap_percent: 80,
+        queue_limit: 256,
+        silence_timeout_ms: SILENCE_TIMEOUT_MS,
+        quarantine_ms: QUARANTINE_MS,
+        scorer_address: scorer.to_string(),
+    };
+    let plain_pool = Pool {
+        name: PLAIN_POOL.to_owned(),
+        interactive_cap_percent: 100,
+        queue_limit: 64,
+        silence_timeout_ms: SILENCE_TIMEOUT_MS,
+        quarantine_ms: QUARANTINE_MS,
+        ..Pool::default()
+    };
+    vec![model_pool, plain_pool]
+}
+
+fn engine_settings(place: usize, engine: &StandinProcess) -> Endpoint {
+    Endpoint {
+        name: engine.name().to_owned(),
+        pool: MODEL_POOL.to_owned(),
+        kind: EndpointKind::ModelEngine.into(),
+        address: engine.address().to_string(),
+        availability_zone: zone(place),
+        region: REGION.to_owned(),
+        slots: ENGINE_SLOTS,
+        honours_fencing: honours_fencing(place),
+        leaving: false,
+    }
+}
+
+fn plain_settings(place: usize, service: &StandinProcess) -> Endpoint {
+    Endpoint {
+        name: service.name().to_owned(),
+        pool: PLAIN_POOL.to_owned(),
+        kind: EndpointKind::PlainService.into(),
+        address: service.address().to_string(),
+        availability_zone: zone(place),
+        region: REGION.to_owned(),
+        slots: PLAIN_SLOTS,
+        honours_fencing: false,
+        leaving: false,
+    }
+}
+
+fn callers() -> Vec<Caller> {
+    let interactive = Caller {
+        name: INTERACTIVE_CALLER.to_owned(),
+        priority: Priority::Interactive.into(),
+        share_weight: 1,
+        in_flight_limit: 1_000,
+        rate_limit_per_s: 100_000,
+    };
+    let trainer = Caller {
+        name: TRAINER.to_owned(),
+        priority: Priority::Batch.into(),
+        share_weight: 1,
+        in_flight_limit: 2_048,
+        rate_limit_per_s: 10_000,
+    };
+    vec![interactive, trainer]
+}
+
+fn routes() -> Vec<Route> {
+    let lookup = Route {
+        name: LOOKUP_ROUTE.to_owned(),
+        pool: PLAIN_POOL.to_owned(),
+        idempotent: true,
+        timeout_ms: LOOKUP_TIMEOUT_MS,
+        ..Route::default()
+    };
+    let scan = Route {
+        name: SCAN_ROUTE.to_owned(),
+        pool: PLAIN_POOL.to_owned(),
+        idempotent: false,
+        timeout_ms: LOOKUP_TIMEOUT_MS,
+        log_outage: LogOutagePolicy::Refuse.into(),
+    };
+    vec![lookup, scan]
+}
--- /dev/null
+++ b/wisteriaford_bench/src/processes/http.rs
@@ -0,0 +1,80 @@
+//! HTTP exchanges with any process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::Value;
+use wisteriaford_client::transport::Exchange;
+use wisteriaford_client::transport::HttpTransport;
+use wisteriaford_client::transport::Reply;
+use wisteriaford_client::transport::Transport;
+
+use crate::processes::error::ProcessError;
+use crate::processes::error::Result;
+
+/// Longest silence of an exchange; only ends what would hang.
+pub const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(120);
+const OK_STATUS: u16 = 200;
+const LOWEST_ERROR_STATUS: u16 = 400;
+
+/// Reads a path.
+///
+/// # Errors
+///
+/// Fails where no whole answer came.
+pub fn get(address: SocketAddr, path: &str) -> Result<Reply> {
+    Ok(send(address, &Exchange::get(path.to_owned()))?)
+}
+
+/// Reads a path that answers in JSON.
+///
+/// # Errors
+///
+/// Fails where no answer came, or no JSON.
+pub fn get_json(address: SocketAddr, path: &str) -> Result<Value> {
+    read_json(address, path, &get(address, path)?)
+}
+
+/// Sends JSON to a path that answers in JSON.
+///
+/// # Errors
+///
+/// Fails where no answer came, a refusal or no JSON.
+pub fn post_json(address: SocketAddr, path: &str, body: &Value) -> Result<Value> {
+    let bytes = body.to_string().into_bytes();
+    let exchange = Exchange::post(path.to_owned(), "application/json", bytes);
+    read_json(address, path, &send(address, &exchange)?)
+}
+
+/// Returns whether a daemon takes requests.
+#[must_use]
+pub fn is_ready(address: SocketAddr) -> bool {
+    get(address, "/readyz").is_ok_and(|reply| reply.status == OK_STATUS)
+}
+
+/// Sends any exchange.
+///
+/// # Errors
+///
+/// Fails where no whole answer came.
+pub fn send(
+    address: SocketAddr,
+    exchange: &Exchange,
+) -> std::result::Result<Reply, wisteriaford_client::transport::TransportError> {
+    let transport = HttpTransport {
+        timeout: EXCHANGE_TIMEOUT,
+    };
+    transport.send(address, exchange)
+}
+
+fn read_json(address: SocketAddr, path: &str, reply: &Reply) -> Result<Value> {
+    if reply.status >= LOWEST_ERROR_STATUS {
+        return Err(ProcessError::Refused {
+            address,
+            path: path.to_owned(),
+            status: reply.status,
+            body: String::from_utf8_lossy(&reply.body).into_owned(),
+        });
+    }
+    Ok(serde_json::from_slice(&reply.body)?)
+}
