Refuse late callers of a daemon that has shut down instead of cutting them off

Cause: once the core said that it may exit, the loop ended, but its channel lived on through the 300 ms in which answers leave the sockets. A request that came in that time was queued, never answered, and cut off with the process: the caller could not know whether it had run.

Now callers are refused as shutting_down and not_run until none has come for a second, at most for ten seconds; after that the channel is closed, and the handler itself refuses. Closing the listening socket would be better still, but oxhttp gives no way to do so: a caller that connects in the last moment, although the instance was not ready for longer than a second, can still be cut off.

--- a/wisteriafordd/src/main.rs
+++ b/wisteriafordd/src/main.rs
@@ -102,6 +102,9 @@
     let shutdown_timeout = Duration::from_millis(arguments.shutdown_timeout_ms);
     log::info!("listening at {}", arguments.listen);
     Runtime::new(instance, clock, shared, workers, shutdown_timeout).run(&events);
+    runtime::refuse_late(&events);
+    // Whoever comes now is refused by its handler.
+    drop(events);
     thread::sleep(FLUSH_GRACE);
     Ok(())
 }
--- a/wisteriafordd/src/runtime.rs
+++ b/wisteriafordd/src/runtime.rs
@@ -20,6 +20,8 @@
 use wisteriaford_core::instance::Instance;
 use wisteriaford_core::instance::NotReady;
 use wisteriaford_core::instance::TICK_INTERVAL;
+use wisteriaford_core::refusal::Refusal;
+use wisteriaford_core::refusal::RefusalReason;
 use wisteriaford_core::reply::Reply;
 
 use crate::clock::Clock;
@@ -30,6 +32,10 @@
 
 /// How often unused connections to peers are closed.
 const CLOSE_IDLE_INTERVAL: Duration = Duration::from_secs(10);
+/// Time without any caller after which an instance that has shut down may exit.
+const QUIET: Duration = Duration::from_secs(1);
+/// Longest time that an instance that has shut down goes on refusing callers.
+const LONGEST_REFUSAL: Duration = Duration::from_secs(10);
 
 /// Something for the loop to handle.
 pub(crate) enum Input {
@@ -254,3 +260,19 @@
         true
     }
 }
+
+/// Refuses the callers that still come, until they have stayed away for a while.
+///
+/// Nothing that comes now can run, so that each is told so instead of being cut off.
+pub(crate) fn refuse_late(inputs: &Receiver<Input>) {
+    let end = Instant::now() + LONGEST_REFUSAL;
+    let mut quiet_at = Instant::now() + QUIET;
+    while let Ok(input) = inputs.recv_deadline(quiet_at.min(end)) {
+        if let Input::Caller(_, reply) = input {
+            let refusal = Refusal::not_run(RefusalReason::ShuttingDown);
+            // A caller that went away does not wait for its answer.
+            let _ = reply.send(Reply::Refused(None, refusal));
+            quiet_at = Instant::now() + QUIET;
+        }
+    }
+}
--- a/wisteriafordd/src/server.rs
+++ b/wisteriafordd/src/server.rs
@@ -18,6 +18,8 @@
 use oxhttp::model::StatusCode;
 use wisteriaford_core::event::CallerRequest;
 use wisteriaford_core::event::Identity;
+use wisteriaford_core::refusal::Refusal;
+use wisteriaford_core::refusal::RefusalReason;
 use wisteriaford_core::reply::Reply;
 
 use crate::metrics::Metrics;
@@ -132,7 +134,7 @@
         let (sender, receiver) = crossbeam::channel::bounded(1);
         let asked = answer::Asked::from(&request);
         let input = Input::Caller(request, sender);
-        self.inputs.send(input).map_err(|_| Failure::ShutDown)?;
+        self.inputs.send(input).map_err(|_| not_taken_in())?;
         let reply: Reply = receiver
             .recv_timeout(REPLY_TIMEOUT)
             .map_err(|_| Failure::ShutDown)?;
@@ -161,6 +163,11 @@
     }
 }
 
+/// Returns the failure of a request that the core never saw.
+fn not_taken_in() -> Failure {
+    Failure::Refused(None, Refusal::not_run(RefusalReason::ShuttingDown))
+}
+
 fn is_known(parts: &[&str]) -> bool {
     matches!(
         parts,
