--- /dev/null
+++ b/wisteriaford_bench/tests/whole_path.rs
@@ -0,0 +1,14 @@
+//! Whole path as real processes.
+
+use wisteriaford_bench::quickstart;
+use wisteriaford_bench::quickstart::Settings;
+
+#[test]
+fn small_quickstart_keeps_every_promise() {
+    let settings = Settings::small();
+
+    let outcome = quickstart::run(&settings).unwrap();
+
+    assert!(outcome.broken.is_empty(), "{outcome:?}");
+    assert_eq!(outcome.summary.samples_asked, 32);
+}
