--- a/wisteriafordd/src/app.rs
+++ b/wisteriafordd/src/app.rs
@@ -25,6 +25,7 @@
 use crate::logger;
 use crate::metrics::Metrics;
 use crate::peers;
+use crate::runtime;
 use crate::runtime::Input;
 use crate::runtime::Runtime;
 use crate::runtime::Shared;
@@ -116,6 +117,9 @@
     let shutdown_timeout = Duration::from_millis(arguments.shutdown_timeout_ms);
     log::info!("listening at {}", arguments.listen);
     Runtime::new(instance, clock, shared, workers, shutdown_timeout).run(&events);
+    runtime::refuse_late(&events);
+    // Whoever comes now is refused by its handler.
+    drop(events);
     thread::sleep(FLUSH_GRACE);
     Ok(())
 }
