--- a/wisteriafordd/src/endpoint.rs
+++ b/wisteriafordd/src/endpoint.rs
@@ -1,12 +1,12 @@
 //! Requests, polls and orders to endpoints.
 
-use std::io::BufRead;
 use std::io::BufReader;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use crossbeam::channel::Sender;
 use derive_more::Display;
+use derive_more::From;
 use oxhttp::model::Method;
 use oxhttp::model::header::CONTENT_TYPE;
 use serde::Deserialize;
@@ -33,6 +33,8 @@
 use crate::http;
 use crate::http::HttpError;
 use crate::runtime::Input;
+use crate::stream;
+use crate::stream::StreamError;
 
 /// Status codes by which an endpoint says that it did not run a request.
 const NOT_RUN_STATUSES: [u16; 3] = [409, 410, 503];
@@ -49,22 +51,6 @@
     from_token: u32,
 }
 
-/// One line of a stream of tokens.
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum StreamLine {
-    Tokens {
-        from_token: u32,
-        tokens: u32,
-        text: String,
-        version: u64,
-    },
-    Done {
-        done: bool,
-        total_tokens: u32,
-    },
-}
-
 #[derive(Deserialize)]
 struct StateBody {
     #[serde(default)]
@@ -118,21 +104,13 @@
 #[derive(Deserialize)]
 struct Accepted {}
 
-/// Why a stream ended before it was whole.
-#[derive(Debug, Display)]
-enum StreamError {
+/// Why an attempt has no whole answer.
+#[derive(Debug, Display, From)]
+enum AttemptError {
     #[display("{_0}")]
     Http(HttpError),
-    #[display("stream broke")]
-    Broken,
-    #[display("malformed line")]
-    Malformed,
-}
-
-impl From<HttpError> for StreamError {
-    fn from(error: HttpError) -> Self {
-        Self::Http(error)
-    }
+    #[display("{_0}")]
+    Stream(StreamError),
 }
 
 /// Runs an attempt to its end and reports what comes back.
@@ -157,7 +135,7 @@
     generation: &Generation,
     timeout: Duration,
     report: &dyn Fn(AttemptEvent) -> bool,
-) -> Result<(), StreamError> {
+) -> Result<(), AttemptError> {
     let body = GenerateBody {
         request_id: attempt.id.as_str(),
         prompt: &generation.prompt,
@@ -166,49 +144,16 @@
         priority: priority_name(attempt.priority),
         from_token: attempt.from_token,
     };
-    let body = serde_json::to_vec(&body).map_err(|_| StreamError::Malformed)?;
+    let body = serde_json::to_vec(&body).map_err(|_| HttpError::Malformed)?;
     let url = format!("http://{}/generate", attempt.address);
     let headers = [(CONTENT_TYPE.as_str(), "application/json")];
     let response = http::send(timeout, Method::POST, &url, &headers, body)?;
     if !response.status().is_success() {
         http::read_whole(response)?;
-        return Err(StreamError::Malformed);
+        return Err(HttpError::Malformed.into());
     }
-    read_stream(BufReader::new(response.into_body()), report)
-}
-
-fn read_stream(
-    reader: impl BufRead,
-    report: &dyn Fn(AttemptEvent) -> bool,
-) -> Result<(), StreamError> {
-    for line in reader.lines() {
-        let line = line.map_err(|_| StreamError::Broken)?;
-        let line = serde_json::from_str(&line).map_err(|_| StreamError::Malformed)?;
-        let (event, last) = match line {
-            StreamLine::Tokens {
-                from_token,
-                tokens,
-                text,
-                version,
-            } => {
-                let version = Version(version);
-                let event = AttemptEvent::Tokens {
-                    from_token,
-                    tokens,
-                    text,
-                    version,
-                };
-                (event, false)
-            }
-            StreamLine::Done { done, total_tokens } => {
-                (AttemptEvent::Finished { total_tokens }, done)
-            }
-        };
-        if !report(event) || last {
-            return Ok(());
-        }
-    }
-    Err(StreamError::Broken)
+    stream::read_stream(BufReader::new(response.into_body()), report)?;
+    Ok(())
 }
 
 fn answer_call(
@@ -216,7 +161,7 @@
     call: &Call,
     timeout: Duration,
     report: &dyn Fn(AttemptEvent) -> bool,
-) -> Result<(), StreamError> {
+) -> Result<(), AttemptError> {
     let url = format!("http://{}/call", attempt.address);
     let mut headers = vec![
         (CONTENT_TYPE.as_str(), call.content_type.as_str()),
@@ -246,16 +191,18 @@
     Ok(())
 }
 
-fn failure_of(error: &StreamError) -> AttemptFailure {
+fn failure_of(error: &AttemptError) -> AttemptFailure {
     match error {
-        StreamError::Http(HttpError::NotConnected) => AttemptFailure::NotConnected,
-        StreamError::Http(HttpError::Status { code, .. }) => match code.as_str() {
+        AttemptError::Http(HttpError::NotConnected) => AttemptFailure::NotConnected,
+        AttemptError::Http(HttpError::Status { code, .. }) => match code.as_str() {
             "overloaded" => AttemptFailure::Overloaded,
             "swapping" | "leaving" => AttemptFailure::Unavailable,
             _ => AttemptFailure::Malformed,
         },
-        StreamError::Http(HttpError::Lost(_)) | StreamError::Broken => AttemptFailure::Broken,
-        StreamError::Http(HttpError::Malformed) | StreamError::Malformed => {
+        AttemptError::Http(HttpError::Lost(_)) | AttemptError::Stream(StreamError::Broken) => {
+            AttemptFailure::Broken
+        }
+        AttemptError::Http(HttpError::Malformed) | AttemptError::Stream(StreamError::Malformed) => {
             AttemptFailure::Malformed
         }
     }
--- a/wisteriafordd/src/lib.rs
+++ b/wisteriafordd/src/lib.rs
@@ -14,4 +14,5 @@
 mod platform;
 pub mod runtime;
 pub mod server;
+pub mod stream;
 mod worker;
