Keep one bit set of sample indices for trainers and instances

The client and the core each had a set of sample indices with the same bits, one with base64 text and 8,192 indices, the other with 65,536. A fault mended in one would have stayed in the other. The core's serves both now and carries the text form. Moving it to the crate of the messages was weighed: that crate holds generated code and no logic. A wrapper in the client around the core's type was too: it would repeat every method.

A step keeps its bound of 8,192 samples, now checked where a pull is, also for pulls without a spec. The tests of the text form moved with the code; every assertion stands, with the bound of the set in place of the bound of a step. The name of the stream for configurations is the core's as well.

--- a/wisteriaford_client/src/lib.rs
+++ b/wisteriaford_client/src/lib.rs
@@ -1,7 +1,6 @@
 //! Typed client of the wisteriaford caller interface, and of the platform's log.
 
 pub mod client;
-pub mod index_set;
 pub mod log;
 pub mod message;
 pub mod step;
--- a/wisteriaford_client/src/log.rs
+++ b/wisteriaford_client/src/log.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use serde::Serializer;
 use serde::de;
+use wisteriaford_core::event::LogStream;
 
 use crate::message::ErrorAnswer;
 use crate::message::ErrorBody;
@@ -23,8 +24,8 @@
 use crate::transport::Transport;
 use crate::transport::TransportError;
 
-/// Stream that the fleet keeps its records in.
-pub const STREAM: &str = "wisteriaford-configuration";
+/// Stream that configurations are published to.
+pub const STREAM: &str = LogStream::Configuration.name();
 /// Offset of the first record of a stream.
 pub const FIRST_OFFSET: u64 = 1;
 
--- a/wisteriaford_client/src/message.rs
+++ b/wisteriaford_client/src/message.rs
@@ -4,10 +4,10 @@
 use derive_more::Error;
 use serde::Deserialize;
 use serde::Serialize;
+use wisteriaford_core::index_set::IndexSet;
 
-use crate::index_set::IndexSet;
-use crate::index_set::MAX_SAMPLES;
-
+/// Most samples that a step may have; every index is below it.
+pub const MAX_SAMPLES: u32 = 8_192;
 /// Most tokens that one answer may have.
 pub const MAX_TOKENS: u32 = 1_000_000;
 /// Longest prompt, in bytes.
@@ -222,11 +222,11 @@
         check_name("trainer", &self.trainer)?;
         check_name("pool", &self.pool)?;
         check_range("wait_ms", self.wait_ms, 0, MAX_WAIT_MS)?;
-        let Some(spec) = &self.spec else {
-            return Ok(());
-        };
-        spec.check()?;
-        let samples = u32::try_from(spec.samples()).unwrap_or(MAX_SAMPLES);
+        let mut samples = MAX_SAMPLES;
+        if let Some(spec) = &self.spec {
+            spec.check()?;
+            samples = u32::try_from(spec.samples()).unwrap_or(MAX_SAMPLES);
+        }
         match self.received.iter().find(|&index| index >= samples) {
             Some(index) => Err(MessageError::ReceivedOutsideStep { index, samples }),
             None => Ok(()),
--- a/wisteriaford_client/src/step.rs
+++ b/wisteriaford_client/src/step.rs
@@ -4,8 +4,8 @@
 use derive_more::Error;
 use serde::Deserialize;
 use serde::Serialize;
+use wisteriaford_core::index_set::IndexSet;
 
-use crate::index_set::IndexSet;
 use crate::message::MessageError;
 use crate::message::PullAnswer;
 use crate::message::PullRequest;
@@ -191,7 +191,7 @@
     /// Returns whether every sample is there.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        u64::from(self.received.len()) == self.counts.asked
+        self.received.len() as u64 == self.counts.asked
     }
 
     /// Returns the indices that were taken.
@@ -258,7 +258,7 @@
             counts.too_old += 1;
             return;
         }
-        if self.received.set(sample.index).is_ok() {
+        if self.received.insert(sample.index).is_ok() {
             counts.delivered += 1;
             self.samples.push(sample);
         }
--- a/wisteriaford_client/tests/client.rs
+++ b/wisteriaford_client/tests/client.rs
@@ -9,7 +9,6 @@
 use rstest::rstest;
 use wisteriaford_client::client::Client;
 use wisteriaford_client::client::RouteCall;
-use wisteriaford_client::index_set::IndexSet;
 use wisteriaford_client::log::AppendError;
 use wisteriaford_client::log::Log;
 use wisteriaford_client::log::LogClient;
@@ -20,6 +19,7 @@
 use wisteriaford_client::transport::Reply;
 use wisteriaford_client::transport::Transport;
 use wisteriaford_client::transport::TransportError;
+use wisteriaford_core::index_set::IndexSet;
 
 /// What a daemon does with an exchange.
 #[derive(Clone)]
--- a/wisteriaford_client/tests/message.rs
+++ b/wisteriaford_client/tests/message.rs
@@ -1,14 +1,15 @@
 //! Requests that cannot be meant.
 
 use rstest::rstest;
-use wisteriaford_client::index_set::IndexSet;
 use wisteriaford_client::message::GenerateRequest;
 use wisteriaford_client::message::MAX_PROMPT_LEN_BYTES;
+use wisteriaford_client::message::MAX_SAMPLES;
 use wisteriaford_client::message::MessageError;
 use wisteriaford_client::message::PullRequest;
 use wisteriaford_client::message::SampleAnswer;
 use wisteriaford_client::message::StepSpec;
 use wisteriaford_client::message::VersionSpan;
+use wisteriaford_core::index_set::IndexSet;
 
 fn generate() -> GenerateRequest {
     GenerateRequest {
@@ -124,7 +125,7 @@
 #[test]
 fn received_index_outside_the_step_is_refused() {
     let mut request = pull(2, 2);
-    request.received.set(4).unwrap();
+    request.received.insert(4).unwrap();
 
     let error = request.check().unwrap_err();
 
@@ -160,3 +161,19 @@
 ) {
     assert_eq!(sample(tokens, spans).is_labelled(), labelled);
 }
+
+#[test]
+fn received_index_that_no_step_has_is_refused_without_a_spec() {
+    let mut request = pull(4, 256);
+    request.spec = None;
+    request.received.insert(MAX_SAMPLES - 1).unwrap();
+    assert_eq!(request.check(), Ok(()));
+
+    request.received.insert(MAX_SAMPLES).unwrap();
+
+    let expected = MessageError::ReceivedOutsideStep {
+        index: MAX_SAMPLES,
+        samples: MAX_SAMPLES,
+    };
+    assert_eq!(request.check(), Err(expected));
+}
--- a/wisteriaford_core/src/index_set.rs
+++ b/wisteriaford_core/src/index_set.rs
@@ -1,7 +1,17 @@
-//! Bounded bit set of sample indices.
+//! Bounded bit set of sample indices, as bytes between instances and as base64 text in JSON.
 
+use std::fmt;
+use std::str::FromStr;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use derive_more::Display;
 use derive_more::Error;
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+use serde::de;
 
 /// Indices that a set can hold: 0 up to but without this number.
 pub const MAX_INDICES: u32 = 65_536;
@@ -23,17 +33,26 @@
         /// Index.
         index: u32,
     },
+    /// The text is not base64.
+    #[display("a set of sample indices must be base64 text")]
+    NotBase64,
 }
 
 /// Set of sample indices; bit i % 8 of byte i / 8 is index i.
 ///
 /// Sets that hold the same indices are equal, whatever bytes they were made from.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct IndexSet {
     bytes: Vec<u8>,
 }
 
 impl IndexSet {
+    /// Returns the empty set.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
     /// Adds an index; returns whether it was new.
     ///
     /// # Errors
@@ -61,6 +80,16 @@
         byte & (1 << (index % 8)) != 0
     }
 
+    /// Adds all indices of another set.
+    pub fn union(&mut self, other: &Self) {
+        if self.bytes.len() < other.bytes.len() {
+            self.bytes.resize(other.bytes.len(), 0);
+        }
+        for (own, added) in self.bytes.iter_mut().zip(&other.bytes) {
+            *own |= added;
+        }
+    }
+
     /// Returns the number of indices held.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -110,3 +139,34 @@
         })
     }
 }
+
+/// Writes the bytes as base64 text (RFC 4648, padded).
+impl fmt::Display for IndexSet {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&STANDARD.encode(&self.bytes))
+    }
+}
+
+impl FromStr for IndexSet {
+    type Err = IndexSetError;
+
+    fn from_str(text: &str) -> Result<Self, IndexSetError> {
+        let bytes = STANDARD
+            .decode(text)
+            .map_err(|_| IndexSetError::NotBase64)?;
+        Self::try_from(bytes.as_slice())
+    }
+}
+
+impl Serialize for IndexSet {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for IndexSet {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(de::Error::custom)
+    }
+}
--- a/wisteriaford_client/tests/index_set.rs
+++ b/wisteriaford_core/tests/index_set_text.rs
@@ -1,14 +1,14 @@
-//! Sets of sample indices.
+//! Sets of sample indices as bytes and as text.
 
 use rstest::rstest;
-use wisteriaford_client::index_set::IndexSet;
-use wisteriaford_client::index_set::IndexSetError;
-use wisteriaford_client::index_set::MAX_SAMPLES;
+use wisteriaford_core::index_set::IndexSet;
+use wisteriaford_core::index_set::IndexSetError;
+use wisteriaford_core::index_set::MAX_INDICES;
 
 fn set_of(indices: &[u32]) -> IndexSet {
     let mut set = IndexSet::new();
     for &index in indices {
-        set.set(index).unwrap();
+        set.insert(index).unwrap();
     }
     set
 }
@@ -17,7 +17,7 @@
 #[case(&[])]
 #[case(&[0])]
 #[case(&[7, 8, 9])]
-#[case(&[0, 1_023, MAX_SAMPLES - 1])]
+#[case(&[0, 1_023, MAX_INDICES - 1])]
 fn round_trip_keeps_the_indices(#[case] indices: &[u32]) {
     let set = set_of(indices);
 
@@ -26,7 +26,7 @@
 
     assert_eq!(read, set);
     assert_eq!(read.iter().collect::<Vec<_>>(), indices);
-    assert_eq!(read.len() as usize, indices.len());
+    assert_eq!(read.len(), indices.len());
 }
 
 #[test]
@@ -49,28 +49,28 @@
 
 #[test]
 fn trailing_zero_bytes_make_no_difference() {
-    let set = IndexSet::from_bytes(&[1, 0, 0]).unwrap();
+    let set = IndexSet::try_from([1, 0, 0].as_slice()).unwrap();
 
     assert_eq!(set, set_of(&[0]));
     assert!(!set.is_empty());
-    assert!(IndexSet::from_bytes(&[0, 0]).unwrap().is_empty());
+    assert!(IndexSet::try_from([0, 0].as_slice()).unwrap().is_empty());
 }
 
 #[test]
 fn setting_twice_is_told() {
     let mut set = IndexSet::new();
 
-    assert_eq!(set.set(5), Ok(true));
-    assert_eq!(set.set(5), Ok(false));
+    assert_eq!(set.insert(5), Ok(true));
+    assert_eq!(set.insert(5), Ok(false));
 }
 
 #[test]
 fn index_out_of_range_is_refused() {
-    let index = MAX_SAMPLES;
+    let index = MAX_INDICES;
 
-    let error = IndexSet::new().set(index).unwrap_err();
+    let error = IndexSet::new().insert(index).unwrap_err();
 
-    assert_eq!(error, IndexSetError::IndexOutOfRange { index });
+    assert_eq!(error, IndexSetError::IndexTooHigh { index });
     assert!(!IndexSet::new().contains(u32::MAX));
 }
 
@@ -85,9 +85,9 @@
 
 #[test]
 fn oversized_set_is_refused() {
-    let len_bytes = MAX_SAMPLES as usize / 8 + 1;
+    let len_bytes = MAX_INDICES as usize / 8 + 1;
 
-    let error = IndexSet::from_bytes(&vec![0; len_bytes]).unwrap_err();
+    let error = IndexSet::try_from(vec![0; len_bytes].as_slice()).unwrap_err();
 
     assert_eq!(error, IndexSetError::TooLong { len_bytes });
 }
