Count requests that are refused before the core sees them

Bodies that are too large or cannot be meant were answered by the HTTP layer and counted nowhere, so the counters of two refusal reasons stayed at 0. The layer counts them by atomics now, and the metrics add both. Handing each to the core to be counted was ruled out: it would put bad input on the loop that decides for everyone.

48 cases cover the conversion of questions and failures, among them that each refusal reason has the status that docs/API.md names.

--- a/wisteriafordd/src/lib.rs
+++ b/wisteriafordd/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod app;
 pub mod arguments;
+pub mod border;
 mod clock;
 mod endpoint;
 mod http;
--- a/wisteriafordd/src/metrics.rs
+++ b/wisteriafordd/src/metrics.rs
@@ -12,7 +12,6 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use wisteriaford_core::counters::Counter;
-use wisteriaford_core::counters::Counters;
 
 use crate::runtime::Shared;
 
@@ -57,28 +56,25 @@
 }
 
 fn observe_reasons(meter: &Meter, shared: &Arc<Shared>) {
-    observe_labelled(
-        meter,
-        shared,
-        "wisteriaford_refusals",
-        "Refusals by reason.",
-        |c| {
-            c.refusals()
-                .map(|(reason, count)| (reason.code(), count))
-                .collect()
-        },
-    );
-    observe_labelled(
-        meter,
-        shared,
-        "wisteriaford_retries",
-        "Retries by reason.",
-        |c| {
-            c.retries()
-                .map(|(reason, count)| (reason.code(), count))
-                .collect()
-        },
-    );
+    let refusals = |shared: &Shared| {
+        let counters = &shared.snapshot.load().counters;
+        let refusals = counters.refusals().map(|(reason, count)| {
+            let at_border = shared.border_refusals.get(reason);
+            (reason.code(), count + at_border)
+        });
+        refusals.collect()
+    };
+    let name = "wisteriaford_refusals";
+    observe_labelled(meter, shared, name, "Refusals by reason.", refusals);
+    let retries = |shared: &Shared| {
+        let counters = &shared.snapshot.load().counters;
+        let retries = counters.retries();
+        retries
+            .map(|(reason, count)| (reason.code(), count))
+            .collect()
+    };
+    let name = "wisteriaford_retries";
+    observe_labelled(meter, shared, name, "Retries by reason.", retries);
 }
 
 fn observe_labelled(
@@ -86,14 +82,14 @@
     shared: &Arc<Shared>,
     name: &'static str,
     description: &'static str,
-    read: fn(&Counters) -> Vec<(&'static str, u64)>,
+    read: fn(&Shared) -> Vec<(&'static str, u64)>,
 ) {
     let shared = Arc::clone(shared);
     meter
         .u64_observable_counter(name)
         .with_description(description)
         .with_callback(move |observer| {
-            for (reason, count) in read(&shared.snapshot.load().counters) {
+            for (reason, count) in read(&shared) {
                 observer.observe(count, &[KeyValue::new("reason", reason)]);
             }
         })
--- a/wisteriafordd/src/runtime.rs
+++ b/wisteriafordd/src/runtime.rs
@@ -24,6 +24,7 @@
 use wisteriaford_core::refusal::RefusalReason;
 use wisteriaford_core::reply::Reply;
 
+use crate::border::BorderRefusals;
 use crate::clock::Clock;
 use crate::logger;
 use crate::peers::Peers;
@@ -64,6 +65,8 @@
     pub(crate) peer_bytes_sent: AtomicU64,
     /// Messages of peers that could not be understood.
     pub(crate) damaged_peer_messages: AtomicU64,
+    /// Requests refused before they reached the core.
+    pub border_refusals: BorderRefusals,
     /// Whether a signal asked for a graceful shutdown.
     pub(crate) shutdown_asked: Arc<AtomicBool>,
 }
@@ -80,6 +83,7 @@
             snapshot: ArcSwap::from_pointee(snapshot),
             peer_bytes_sent: AtomicU64::new(0),
             damaged_peer_messages: AtomicU64::new(0),
+            border_refusals: BorderRefusals::default(),
             shutdown_asked,
         }
     }
--- a/wisteriafordd/src/server.rs
+++ b/wisteriafordd/src/server.rs
@@ -1,8 +1,8 @@
 //! HTTP interface for callers, health checks and metrics.
 
 mod answer;
-mod failure;
-mod question;
+pub mod failure;
+pub mod question;
 
 use std::io::Read;
 use std::net::SocketAddr;
@@ -85,8 +85,14 @@
     }
 
     fn respond(&self, request: &mut Request<Body>) -> Response<Body> {
-        self.route(request)
-            .unwrap_or_else(|failure| failure.response())
+        let failure = match self.route(request) {
+            Ok(response) => return response,
+            Err(failure) => failure,
+        };
+        if let Some(reason) = failure.border_reason() {
+            self.shared.border_refusals.count(reason);
+        }
+        failure.response()
     }
 
     fn route(&self, request: &mut Request<Body>) -> Result<Response<Body>, Failure> {
--- a/wisteriafordd/src/server/failure.rs
+++ b/wisteriafordd/src/server/failure.rs
@@ -21,7 +21,7 @@
 
 /// Why a caller gets no answer.
 #[derive(Debug, Display)]
-pub(crate) enum Failure {
+pub enum Failure {
     /// The path leads nowhere.
     #[display("there is nothing at this path")]
     NotFound,
@@ -74,7 +74,8 @@
 
 impl Failure {
     /// Returns the failure as an answer with a typed JSON body.
-    pub(crate) fn response(&self) -> Response<Body> {
+    #[must_use]
+    pub fn response(&self) -> Response<Body> {
         let body = ErrorAnswer {
             error: ErrorBody {
                 code: self.code().to_owned(),
@@ -97,6 +98,27 @@
             .unwrap_or_else(|_| Response::new(Body::empty()))
     }
 
+    /// Returns the reason to count for a request that did not reach the core, if there is one.
+    #[must_use]
+    pub fn border_reason(&self) -> Option<RefusalReason> {
+        match self {
+            Self::TooLarge { .. } => Some(RefusalReason::TooLarge),
+            Self::WrongContentType
+            | Self::TruncatedBody
+            | Self::Json(_)
+            | Self::Message(_)
+            | Self::Header { .. }
+            | Self::Path(_)
+            | Self::StepNumber => Some(RefusalReason::BadRequest),
+            Self::NotFound
+            | Self::MethodNotAllowed
+            | Self::NotReady(_)
+            | Self::ShutDown
+            | Self::RequestUnknown
+            | Self::Refused(..) => None,
+        }
+    }
+
     fn code(&self) -> &'static str {
         match self {
             Self::NotFound => "not_found",
--- a/wisteriafordd/src/server/question.rs
+++ b/wisteriafordd/src/server/question.rs
@@ -29,7 +29,11 @@
 const MAX_KEY_LEN_BYTES: usize = 128;
 
 /// Refuses a body that is not said to be JSON.
-pub(crate) fn require_json(headers: &HeaderMap) -> Result<(), Failure> {
+///
+/// # Errors
+///
+/// Fails where the content type is another one.
+pub fn require_json(headers: &HeaderMap) -> Result<(), Failure> {
     let content_type = text_header(headers, CONTENT_TYPE.as_str())?.unwrap_or_default();
     let media_type = content_type.split(';').next().unwrap_or_default().trim();
     if media_type.eq_ignore_ascii_case("application/json") {
@@ -39,12 +43,20 @@
 }
 
 /// Reads the id of a request.
-pub(crate) fn request_id(text: &str) -> Result<RequestId, Failure> {
+///
+/// # Errors
+///
+/// Fails where it is no name.
+pub fn request_id(text: &str) -> Result<RequestId, Failure> {
     text.parse().map_err(Failure::Path)
 }
 
 /// Reads a generation.
-pub(crate) fn generate(body: &[u8]) -> Result<CallerRequest, Failure> {
+///
+/// # Errors
+///
+/// Fails where the body cannot be meant.
+pub fn generate(body: &[u8]) -> Result<CallerRequest, Failure> {
     let request: GenerateRequest = serde_json::from_slice(body).map_err(Failure::Json)?;
     request.check().map_err(Failure::Message)?;
     Ok(CallerRequest::Generate {
@@ -58,11 +70,11 @@
 }
 
 /// Reads a call to a plain service.
-pub(crate) fn call(
-    route: &str,
-    headers: &HeaderMap,
-    body: Vec<u8>,
-) -> Result<CallerRequest, Failure> {
+///
+/// # Errors
+///
+/// Fails where the path or a header cannot be meant.
+pub fn call(route: &str, headers: &HeaderMap, body: Vec<u8>) -> Result<CallerRequest, Failure> {
     let route: RouteId = route.parse().map_err(Failure::Path)?;
     let caller: CallerId = parsed_header(headers, CALLER_HEADER)?.ok_or(Failure::Header {
         name: CALLER_HEADER,
@@ -91,7 +103,11 @@
 }
 
 /// Reads a pull of a step.
-pub(crate) fn pull(step: &str, body: &[u8]) -> Result<CallerRequest, Failure> {
+///
+/// # Errors
+///
+/// Fails where the path or the body cannot be meant.
+pub fn pull(step: &str, body: &[u8]) -> Result<CallerRequest, Failure> {
     let step: StepNumber = step.parse().map_err(|_| Failure::StepNumber)?;
     let request: PullRequest = serde_json::from_slice(body).map_err(Failure::Json)?;
     request.check().map_err(Failure::Message)?;
--- /dev/null
+++ b/wisteriafordd/tests/http.rs
@@ -0,0 +1,292 @@
+//! What callers send, as the core gets it, and what they are answered when it cannot be meant.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use oxhttp::model::HeaderMap;
+use oxhttp::model::HeaderValue;
+use oxhttp::model::header::HeaderName;
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+use wisteriaford_core::event::CallerRequest;
+use wisteriaford_core::id::RequestId;
+use wisteriaford_core::refusal::Refusal;
+use wisteriaford_core::refusal::RefusalReason;
+use wisteriafordd::metrics::Metrics;
+use wisteriafordd::runtime::Shared;
+use wisteriafordd::server::failure::Failure;
+use wisteriafordd::server::question;
+
+fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        let name: HeaderName = name.parse().unwrap();
+        headers.insert(name, HeaderValue::from_bytes(value.as_bytes()).unwrap());
+    }
+    headers
+}
+
+fn generate_body() -> Value {
+    json!({"caller": "portal", "pool": "restoration", "prompt": "hello", "max_tokens": 5})
+}
+
+fn pull_body() -> Value {
+    json!({
+        "trainer": "trainer-a", "pool": "restoration", "pull": 1, "current_version": 2,
+        "received": "AQI=", "wait_ms": 100,
+        "spec": {"group_size": 2, "max_tokens": 5, "prompts": ["a", "b", "c", "d", "e"]},
+    })
+}
+
+fn with(mut body: Value, pointer: &str, value: Value) -> Vec<u8> {
+    let (parent, field) = pointer.rsplit_once('/').unwrap();
+    body.pointer_mut(parent).unwrap()[field] = value;
+    serde_json::to_vec(&body).unwrap()
+}
+
+/// Returns the status, the header `retry-after` and the error of an answer.
+fn answer(failure: &Failure) -> (u16, Option<String>, Value) {
+    let response = failure.response();
+    let status = response.status().as_u16();
+    let retry_after = response.headers().get("retry-after");
+    let retry_after = retry_after.map(|value| value.to_str().unwrap().to_owned());
+    let body = response.into_body().to_vec().unwrap();
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    (status, retry_after, body["error"].clone())
+}
+
+#[test]
+fn generation_reaches_the_core_as_it_was_meant() {
+    let body = with(generate_body(), "/timeout_ms", json!(250));
+
+    let CallerRequest::Generate {
+        request,
+        caller,
+        max_tokens,
+        timeout,
+        ..
+    } = question::generate(&body).unwrap()
+    else {
+        panic!("a generation");
+    };
+
+    assert_eq!(request, None);
+    assert_eq!(caller.as_str(), "portal");
+    assert_eq!(max_tokens, 5);
+    assert_eq!(timeout, Some(Duration::from_millis(250)));
+}
+
+#[rstest]
+#[case("/max_tokens", json!(0), "bad_request")]
+#[case("/max_tokens", json!(-1), "malformed_json")]
+#[case("/max_tokens", json!(1_000_001), "bad_request")]
+#[case("/max_tokens", json!(1e30), "malformed_json")]
+#[case("/max_tokens", json!("5"), "malformed_json")]
+#[case("/caller", json!(""), "bad_request")]
+#[case("/caller", json!("with space"), "bad_request")]
+#[case("/pool", json!("x".repeat(129)), "bad_request")]
+#[case("/prompt", json!("x".repeat((1 << 20) + 1)), "bad_request")]
+#[case("/timeout_ms", json!(0), "bad_request")]
+#[case("/timeout_ms", json!(3_600_001), "bad_request")]
+#[case("/request_id", json!("?"), "bad_request")]
+#[case("/surprise", json!(1), "malformed_json")]
+fn generation_that_cannot_be_meant_is_refused(
+    #[case] pointer: &str,
+    #[case] value: Value,
+    #[case] code: &str,
+) {
+    let failure = question::generate(&with(generate_body(), pointer, value)).unwrap_err();
+
+    let (status, _, error) = answer(&failure);
+    assert_eq!(status, 400);
+    assert_eq!(error["code"], code);
+    assert_eq!(error["outcome"], "not_run");
+    assert_eq!(failure.border_reason(), Some(RefusalReason::BadRequest));
+}
+
+#[rstest]
+#[case(b"")]
+#[case(b"{")]
+#[case(b"[]")]
+#[case(b"\xff\xfe")]
+fn body_that_is_no_request_is_refused(#[case] body: &[u8]) {
+    for failure in [
+        question::generate(body).unwrap_err(),
+        question::pull("1", body).unwrap_err(),
+    ] {
+        let (status, _, error) = answer(&failure);
+        assert_eq!(status, 400);
+        assert_eq!(error["code"], "malformed_json");
+    }
+}
+
+#[test]
+fn pull_reaches_the_core_as_it_was_meant() {
+    let body = serde_json::to_vec(&pull_body()).unwrap();
+
+    let CallerRequest::Pull {
+        step,
+        pull,
+        received,
+        wait,
+        spec,
+        ..
+    } = question::pull("7", &body).unwrap()
+    else {
+        panic!("a pull");
+    };
+
+    assert_eq!((step.0, pull.0), (7, 1));
+    assert_eq!(received, [0b1, 0b10]);
+    assert_eq!(wait, Duration::from_millis(100));
+    assert_eq!(spec.unwrap().total(), 10);
+}
+
+#[rstest]
+#[case("7", "/received", json!("!"), "malformed_json")]
+#[case("7", "/received", json!("AQQ="), "bad_request")]
+#[case("7", "/wait_ms", json!(60_001), "bad_request")]
+#[case("7", "/pull", json!(-1), "malformed_json")]
+#[case("7", "/spec/group_size", json!(0), "bad_request")]
+#[case("7", "/spec/group_size", json!(4_294_967_295_u32), "bad_request")]
+#[case("7", "/spec/max_tokens", json!(0), "bad_request")]
+#[case("7", "/spec/prompts", json!([]), "bad_request")]
+#[case("-7", "/wait_ms", json!(0), "bad_request")]
+#[case("x", "/wait_ms", json!(0), "bad_request")]
+#[case("18446744073709551616", "/wait_ms", json!(0), "bad_request")]
+fn pull_that_cannot_be_meant_is_refused(
+    #[case] step: &str,
+    #[case] pointer: &str,
+    #[case] value: Value,
+    #[case] code: &str,
+) {
+    let failure = question::pull(step, &with(pull_body(), pointer, value)).unwrap_err();
+
+    let (status, _, error) = answer(&failure);
+    assert_eq!(status, 400);
+    assert_eq!(error["code"], code);
+}
+
+#[test]
+fn call_reaches_the_core_as_it_was_meant() {
+    let headers = headers(&[
+        ("wisteriaford-caller", "portal"),
+        ("idempotency-key", "k1"),
+        ("wisteriaford-first-attempt", "true"),
+        ("wisteriaford-timeout-ms", "40"),
+    ]);
+
+    let CallerRequest::Call {
+        request,
+        key,
+        first_attempt,
+        content_type,
+        timeout,
+        ..
+    } = question::call("badge-scan", &headers, b"abc".to_vec()).unwrap()
+    else {
+        panic!("a call");
+    };
+
+    assert_eq!(request, None);
+    assert_eq!(key.as_deref(), Some("k1"));
+    assert!(first_attempt);
+    assert_eq!(content_type, "application/octet-stream");
+    assert_eq!(timeout, Some(Duration::from_millis(40)));
+}
+
+#[test]
+fn call_is_no_first_attempt_unless_marked() {
+    let headers = headers(&[("wisteriaford-caller", "portal")]);
+
+    let call = question::call("badge-scan", &headers, Vec::new()).unwrap();
+
+    assert!(matches!(
+        call,
+        CallerRequest::Call {
+            first_attempt: false,
+            key: None,
+            ..
+        }
+    ));
+}
+
+#[rstest]
+#[case("badge-scan", &[])]
+#[case("badge-scan", &[("wisteriaford-caller", "with space")])]
+#[case("badge scan", &[("wisteriaford-caller", "portal")])]
+#[case("badge-scan", &[("wisteriaford-caller", "portal"), ("idempotency-key", "")])]
+#[case("badge-scan", &[("wisteriaford-caller", "portal"), ("idempotency-key", "\u{e9}")])]
+#[case("badge-scan", &[("wisteriaford-caller", "portal"), ("wisteriaford-first-attempt", "yes")])]
+#[case("badge-scan", &[("wisteriaford-caller", "portal"), ("wisteriaford-timeout-ms", "0")])]
+#[case("badge-scan", &[("wisteriaford-caller", "portal"), ("wisteriaford-timeout-ms", "-1")])]
+#[case("badge-scan", &[("wisteriaford-caller", "portal"), ("wisteriaford-request-id", "?")])]
+fn call_that_cannot_be_meant_is_refused(#[case] route: &str, #[case] pairs: &[(&str, &str)]) {
+    let failure = question::call(route, &headers(pairs), Vec::new()).unwrap_err();
+
+    let (status, _, error) = answer(&failure);
+    assert_eq!(status, 400);
+    assert_eq!(error["code"], "bad_request");
+    assert_eq!(error["outcome"], "not_run");
+}
+
+#[rstest]
+#[case(&[("content-type", "application/json")], true)]
+#[case(&[("content-type", "Application/JSON; charset=utf-8")], true)]
+#[case(&[("content-type", "text/plain")], false)]
+#[case(&[], false)]
+fn content_type_is_checked(#[case] pairs: &[(&str, &str)], #[case] accepted: bool) {
+    let result = question::require_json(&headers(pairs));
+
+    assert_eq!(result.is_ok(), accepted);
+    if let Err(failure) = result {
+        assert_eq!(answer(&failure).0, 415);
+    }
+}
+
+#[test]
+fn time_to_come_back_is_rounded_up_in_the_header() {
+    let refusal = Refusal::outcome_unknown(RefusalReason::KeyInUse);
+    let refusal = refusal.with_retry_after(Duration::from_millis(1_001));
+
+    let request = RequestId::from("r1");
+    let (status, retry_after, error) = answer(&Failure::Refused(Some(request), refusal));
+
+    assert_eq!(status, 409);
+    assert_eq!(retry_after.as_deref(), Some("2"));
+    assert_eq!(error["retry_after_ms"], 1_001);
+    assert_eq!(error["outcome"], "outcome_unknown");
+    assert_eq!(error["request_id"], "r1");
+}
+
+#[test]
+fn each_refusal_has_the_status_that_the_page_names() {
+    let page = include_str!("../../docs/API.md");
+
+    for &reason in RefusalReason::ALL {
+        let (status, _, error) = answer(&Failure::Refused(None, Refusal::not_run(reason)));
+        let row = format!("| `{reason}` | {status} | ");
+        assert_eq!(error["code"], reason.code());
+        assert!(page.contains(&row), "{row}");
+    }
+}
+
+#[test]
+fn refusals_before_the_core_are_counted() {
+    let shared = Arc::new(Shared::new(Arc::new(AtomicBool::new(false))));
+    let metrics = Metrics::start(&shared).unwrap();
+
+    shared.border_refusals.count(RefusalReason::BadRequest);
+    shared.border_refusals.count(RefusalReason::TooLarge);
+    shared.border_refusals.count(RefusalReason::TooLarge);
+
+    let text = String::from_utf8(metrics.text()).unwrap();
+    for (reason, count) in [("bad_request", 1), ("too_large", 2), ("deadline", 0)] {
+        let counter = format!("wisteriaford_refusals_total{{reason=\"{reason}\"");
+        let line = text.lines().find(|line| line.starts_with(&counter));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        assert_eq!(value, Some(count.to_string().as_str()), "{reason}");
+    }
+}
