--- a/wisteriafordd/src/app.rs
+++ b/wisteriafordd/src/app.rs
@@ -111,9 +111,10 @@
     let metrics = Metrics::start(&shared)?;
     let (inputs, events) = crossbeam::channel::unbounded();
     peers::listen(&arguments.peer_address(), inputs.clone())?;
-    start_server(arguments, &shared, metrics, inputs.clone())?;
+    let identity = identity(arguments, clock);
+    start_server(arguments, &identity, &shared, metrics, inputs.clone())?;
     let workers = Workers::start(addresses(arguments), &inputs);
-    let instance = Instance::new(identity(arguments, clock), options(arguments));
+    let instance = Instance::new(identity, options(arguments, clock));
     let shutdown_timeout = Duration::from_millis(arguments.shutdown_timeout_ms);
     log::info!("listening at {}", arguments.listen);
     Runtime::new(instance, clock, shared, workers, shutdown_timeout).run(&events);
@@ -126,6 +127,7 @@
 
 fn start_server(
     arguments: &Arguments,
+    identity: &Identity,
     shared: &Arc<Shared>,
     metrics: Metrics,
     inputs: Sender<Input>,
@@ -133,7 +135,7 @@
     let settings = server::ServerSettings {
         max_connections: arguments.max_connections as usize,
         max_body_bytes: arguments.max_body_bytes,
-        identity: identity(arguments, Clock::start()),
+        identity: identity.clone(),
     };
     let service = server::Service::new(settings, Arc::clone(shared), metrics, inputs);
     Ok(service.listen(arguments.listen)?)
@@ -149,11 +151,11 @@
     }
 }
 
-fn options(arguments: &Arguments) -> Options {
+fn options(arguments: &Arguments, clock: Clock) -> Options {
     Options {
         seeds: arguments.peers.iter().map(address_text).collect(),
         default_timeout: Duration::from_millis(arguments.default_timeout_ms),
-        seed: Clock::start().now().0 ^ u64::from(std::process::id()),
+        seed: clock.now().0 ^ u64::from(std::process::id()),
     }
 }
 
