Say not_run of a keyed call only where no earlier one can run

A call whose key was sent before was told not_run by an instance that shuts down, has no configuration or is at a limit, while the first with that key was under way elsewhere; the same held for a second request under an id in progress. Only what the claims refuse went by the caller's mark of the first attempt. Seen by the fuzzed fleet: shutting one instance down and sending one key to two of them was enough. Now every refusal of what was not sent goes by it.

--- a/wisteriaford_core/src/instance/callers.rs
+++ b/wisteriaford_core/src/instance/callers.rs
@@ -20,6 +20,7 @@
 use crate::id::StepNumber;
 use crate::id::Version;
 use crate::index_set::IndexSet;
+use crate::refusal::Outcome;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalReason;
 use crate::reply::Reply;
@@ -27,6 +28,7 @@
 use crate::request::Origin;
 use crate::request::Partial;
 use crate::request::Phase;
+use crate::request::unsent_outcome;
 use crate::step::Pull;
 use crate::step::PullRefusal;
 use crate::step::PullTicket;
@@ -181,8 +183,10 @@
         timeout: Option<Duration>,
     ) {
         let Some(route) = self.settings.routes.get(&call.route) else {
-            let reason = self.unknown(RefusalReason::UnknownRoute);
-            self.turn_away(ticket, request, reason);
+            let mut refusal = self.unknown(RefusalReason::UnknownRoute);
+            // Without the route, nothing says that the call may be repeated.
+            refusal.outcome = unsent_outcome(&Work::Call(call), false);
+            self.turn_away(ticket, request, refusal);
             return;
         };
         let terms = Terms {
@@ -199,6 +203,7 @@
     /// Checks a request against the settings and the limits, then begins it.
     fn take_in(&mut self, now: Timestamp, ticket: Ticket, terms: Terms) {
         if let Err(refusal) = self.check_terms(now, &terms) {
+            let refusal = self.unsent(&terms, refusal);
             self.turn_away(ticket, terms.request, refusal);
             return;
         }
@@ -231,6 +236,18 @@
         self.begin(now, active);
     }
 
+    /// Lets a refusal of what was not taken in speak truly of what was sent before.
+    fn unsent(&self, terms: &Terms, refusal: Refusal) -> Refusal {
+        let is_taken = |id| self.requests.contains_key(id);
+        let is_in_progress = terms.request.as_ref().is_some_and(is_taken);
+        let outcome = if is_in_progress {
+            Outcome::OutcomeUnknown
+        } else {
+            unsent_outcome(&terms.work, terms.idempotent)
+        };
+        Refusal { outcome, ..refusal }
+    }
+
     fn check_terms(&mut self, now: Timestamp, terms: &Terms) -> Result<(), Refusal> {
         self.check_open()?;
         if !self.settings.callers.contains_key(&terms.caller) {
--- a/wisteriaford_core/src/request.rs
+++ b/wisteriaford_core/src/request.rs
@@ -162,17 +162,9 @@
     }
 
     /// Returns what a refusal says if this request was never sent.
-    ///
-    /// An earlier request with the same key may have run, so only one that its caller marked as
-    /// the first attempt is proven not to have run.
     #[must_use]
     pub fn unsent_outcome(&self) -> Outcome {
-        match &self.request.work {
-            Work::Call(call) if call.key.is_some() && !self.idempotent => {
-                claim::unsent_outcome(call.first_attempt)
-            }
-            Work::Call(_) | Work::Generate(_) => Outcome::NotRun,
-        }
+        unsent_outcome(&self.request.work, self.idempotent)
     }
 
     /// Returns the attempt that holds a slot, whether it was sent or not.
@@ -184,3 +176,17 @@
         }
     }
 }
+
+/// Returns what a refusal says of a request that was never sent.
+///
+/// An earlier request with the same key may have run, so only one that its caller marked as the
+/// first attempt is proven not to have run.
+#[must_use]
+pub fn unsent_outcome(work: &Work, idempotent: bool) -> Outcome {
+    match work {
+        Work::Call(call) if call.key.is_some() && !idempotent => {
+            claim::unsent_outcome(call.first_attempt)
+        }
+        Work::Call(_) | Work::Generate(_) => Outcome::NotRun,
+    }
+}
