End the claim of a call whose caller went away

A caller that hung up while its call waited for the log left the claim behind: it won later, was marked as dispatched without being sent, and stayed for good, so that the key was taken until the log forgot it and the instance's table of claims filled up to its bound.

--- a/wisteriaford_core/src/instance/requests/ending.rs
+++ b/wisteriaford_core/src/instance/requests/ending.rs
@@ -101,6 +101,8 @@
         };
         self.stop(now, &active);
         self.limits.finish(&active.request.caller);
+        // What was sent and cannot be repeated is not cancelled, so no claim was used.
+        self.claim_refused(now, request, Outcome::NotRun);
         let wasted = u64::from(active.partial.tokens());
         self.counters.add(Counter::WastedTokens, wasted);
         self.explanations.add(now, request, Decision::Cancelled);
