Keep duties among instances that leave when nobody else is left

With all instances told to exit at once, or a single one, no endpoint had a steward any more, so what waited for a slot was never granted one and failed by its deadline: a graceful shutdown that interrupts requests. Those that are leaving now keep looking after endpoints while no other instance can.

--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -265,6 +265,9 @@
         self.is_placed = true;
         self.placement = self.membership.alive().collect();
         let instances = self.placement.candidates().len();
+        if self.placement.candidates().is_empty() {
+            self.placement = self.membership.remaining().collect();
+        }
         self.budget.set_instances(now, instances);
         self.limits.set_members(instances);
         // A new steward hears at once of what runs, so that it may grant soon.
--- a/wisteriaford_core/src/membership.rs
+++ b/wisteriaford_core/src/membership.rs
@@ -165,6 +165,14 @@
         me.into_iter().chain(others.map(|entry| &entry.member))
     }
 
+    /// Returns the members that are not known to be gone, those that are leaving included.
+    ///
+    /// They keep their duties among them while nobody else is left to take them.
+    pub fn remaining(&self) -> impl Iterator<Item = &Member> {
+        let is_there = |member: &&Member| member.state != MemberState::Dead;
+        self.members().filter(is_there)
+    }
+
     /// Takes the platform's list as a hint of whom to contact and who is leaving.
     ///
     /// What the list does not say means nothing, since it lags.
