Take the configuration of several peers while the log is down

An instance that started while the log was down was handed the configuration by its peers, but nothing released it, so it took no request until the log was back. It now takes the highest revision once up to three peers, or all there are, have named theirs. Asking one peer alone was ruled out, as that peer may have started just as late.

--- a/wisteriaford_core/src/configuration.rs
+++ b/wisteriaford_core/src/configuration.rs
@@ -190,6 +190,12 @@
         self.released = true;
     }
 
+    /// Returns the revision that would be in force if the fold were released now.
+    #[must_use]
+    pub fn held_revision(&self) -> Revision {
+        revision_of(self.current.as_ref())
+    }
+
     /// Returns whether [`Fold::current`] may be served.
     #[must_use]
     pub fn is_released(&self) -> bool {
--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -123,6 +123,8 @@
     placement: Rendezvous,
     stewards_of: IndexMap<EndpointId, InstanceId>,
     is_placed: bool,
+    /// Revisions that peers named, until there is a configuration in force.
+    heard: IndexMap<InstanceId, Revision>,
     exchange: Exchange,
     leases: Leases,
     leases_read: bool,
@@ -184,6 +186,7 @@
             placement: Rendezvous::default(),
             stewards_of: IndexMap::new(),
             is_placed: false,
+            heard: IndexMap::new(),
             exchange: Exchange::new(identity.id.clone(), identity.incarnation, seed),
             leases: Leases::new(identity.id.clone(), identity.incarnation.0),
             leases_read: false,
--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -27,6 +27,7 @@
 use crate::id::AttemptId;
 use crate::id::EndpointId;
 use crate::id::InstanceId;
+use crate::id::Revision;
 use crate::membership::ListedInstance;
 use crate::membership::ListedState;
 use crate::membership::MemberState;
@@ -236,6 +237,7 @@
             self.timers.next_heartbeat = now + HEARTBEAT_INTERVAL;
             self.heartbeat(now);
             self.republish(now);
+        self.release_fold(now);
         }
         self.spread(now);
         self.tick_rollouts(now);
@@ -421,6 +423,7 @@
         for suspect in &message.suspects {
             self.quarantine.merge(now, suspect);
         }
+        self.hear(&from.id, Revision(message.revision));
         if message.says_use {
             self.limits.merge(now, &from.id, &message.callers);
         }
--- a/wisteriaford_core/src/instance/log.rs
+++ b/wisteriaford_core/src/instance/log.rs
@@ -16,7 +16,9 @@
 use crate::event::LogRead;
 use crate::event::LogRecord;
 use crate::event::LogStream;
+use crate::id::InstanceId;
 use crate::id::Offset;
+use crate::id::Revision;
 use crate::lease::LeaseChange;
 use crate::note::Note;
 use crate::time::Timestamp;
@@ -27,6 +29,9 @@
     records: 10_000,
 };
 
+/// Peers whose revisions are compared before one is taken without the log.
+const PEERS_ASKED: usize = 3;
+
 impl Instance {
     /// Takes what was read of a stream of the log.
     pub(super) fn log_read(
@@ -148,6 +153,30 @@
         self.limits.configure(now, &self.settings.callers);
         self.configure_rollouts(now);
         self.note(Note::RevisionInForce { revision, source });
+    /// Takes the revision that a peer names, as long as none is in force here.
+    pub(super) fn hear(&mut self, from: &InstanceId, revision: Revision) {
+        if !self.fold.is_released() {
+            self.heard.insert(from.clone(), revision);
+        }
+    }
+
+    /// Takes the highest revision of several peers while the log cannot be reached.
+    pub(super) fn release_fold(&mut self, now: Timestamp) {
+        if self.fold.is_released() || self.log_up != Some(false) {
+            return;
+        }
+        let held = self.fold.held_revision();
+        let highest = self.heard.values().max().copied().unwrap_or_default();
+        let others = self.membership.alive().count().saturating_sub(1);
+        let is_enough = self.heard.len() >= others.clamp(1, PEERS_ASKED);
+        if held == Revision(0) || held < highest || !is_enough {
+            return;
+        }
+        self.heard.clear();
+        self.fold.release();
+        self.adopt(now, "peer");
+    }
+
     }
 
     /// Appends a record to the stream of its kind, unless the budget holds it back.
