Remember what the list says is leaving from the start, and until it is back

An instance that started read the platform's list before it had a configuration and dropped what it said, so for five seconds it sent new work to endpoints that were leaving; a new steward forgot it as well. On the other side, nothing ever ended a mark: an endpoint back under its name, or one whose configuration no longer said leaving, got no work until its steward moved. The list's names are now kept whether configured or not, end when the list says live for a minute, and a steward keeps apart what the configuration, the list and the endpoint say.

--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -20,7 +20,6 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use crate::budget::AppendBudget;
 use crate::claim::ClaimSettings;
@@ -42,6 +41,7 @@
 use crate::id::RequestId;
 use crate::id::Revision;
 use crate::lease::Leases;
+use crate::leaving::Leaving;
 use crate::limits::Limits;
 use crate::membership::Member;
 use crate::membership::MemberState;
@@ -144,7 +144,7 @@
     claims_of: IndexMap<RequestId, ClaimId>,
     claimants: IndexMap<ClaimId, RequestId>,
     steps: Steps,
-    leaving_endpoints: IndexSet<EndpointId>,
+    leaving: Leaving,
     explanations: Explanations,
     counters: Counters,
     effects: Vec<Effect>,
@@ -206,7 +206,7 @@
             claims_of: IndexMap::new(),
             claimants: IndexMap::new(),
             steps: Steps::default(),
-            leaving_endpoints: IndexSet::new(),
+            leaving: Leaving::default(),
             explanations: Explanations::default(),
             counters: Counters::default(),
             effects: Vec::new(),
@@ -235,7 +235,7 @@
             Event::Ordered(endpoint, answer) => self.ordered(now, &endpoint, answer),
             Event::LogRead(stream, result) => self.log_read(now, stream, result),
             Event::Appended(append, result) => self.appended(append, result),
-            Event::Listed(instances) => self.listed(&instances),
+            Event::Listed(instances) => self.listed(now, &instances),
             Event::Announced(model, version) => self.announced(now, &model, version),
             Event::Scored(ticket, result) => {
                 self.with_steps(now, |steps, view, out| {
--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -29,7 +29,6 @@
 use crate::id::InstanceId;
 use crate::id::Revision;
 use crate::membership::ListedInstance;
-use crate::membership::ListedState;
 use crate::membership::MemberState;
 use crate::membership::MembershipOutput;
 use crate::membership::Sender;
@@ -237,8 +236,8 @@
             self.timers.next_heartbeat = now + HEARTBEAT_INTERVAL;
             self.heartbeat(now);
             self.republish(now);
-        self.release_fold(now);
         }
+        self.release_fold(now);
         self.spread(now);
         self.tick_rollouts(now);
         if now >= self.timers.next_listing {
@@ -266,10 +265,10 @@
         }
         self.is_placed = true;
         self.placement = self.membership.alive().collect();
-        let instances = self.placement.candidates().len();
         if self.placement.candidates().is_empty() {
             self.placement = self.membership.remaining().collect();
         }
+        let instances = self.placement.candidates().len();
         self.budget.set_instances(now, instances);
         self.limits.set_members(instances);
         // A new steward hears at once of what runs, so that it may grant soon.
@@ -291,6 +290,7 @@
         for endpoint in settings.endpoints.keys() {
             self.take_endpoint(now, endpoint);
         }
+        self.apply_leaving();
         let stewards = &self.stewards;
         self.leases.retain(|endpoint| stewards.holds(endpoint));
     }
@@ -477,16 +477,21 @@
     }
 
     /// Takes the platform's list of instances.
-    pub(super) fn listed(&mut self, instances: &[ListedInstance]) {
+    pub(super) fn listed(&mut self, now: Timestamp, instances: &[ListedInstance]) {
         self.membership.hint(instances);
-        for listed in instances {
-            let endpoint = EndpointId::from(listed.id.as_str());
-            let is_leaving = listed.state == ListedState::Leaving;
-            if is_leaving && self.settings.endpoints.contains_key(&endpoint) {
-                self.stewards.note_leaving(&endpoint, "instance list");
-                self.router.set_leaving(&endpoint, true);
-                self.leaving_endpoints.insert(endpoint);
-            }
+        let endpoints = &self.settings.endpoints;
+        let is_configured = |endpoint: &EndpointId| endpoints.contains_key(endpoint);
+        self.leaving.listed(now, instances, is_configured);
+        self.apply_leaving();
+    }
+
+    /// Tells routing and queues which endpoints the platform's list says are leaving.
+    pub(super) fn apply_leaving(&mut self) {
+        let settings = self.settings.clone();
+        for endpoint in settings.endpoints.keys() {
+            let is_leaving = self.leaving.contains(endpoint);
+            self.stewards.set_listed_leaving(endpoint, is_leaving);
+            self.router.set_leaving(endpoint, is_leaving);
         }
     }
 }
--- a/wisteriaford_core/src/instance/log.rs
+++ b/wisteriaford_core/src/instance/log.rs
@@ -146,13 +146,13 @@
         self.settings = current.settings.clone();
         let endpoints = &self.settings.endpoints;
         self.router.retain(endpoints);
-        self.leaving_endpoints
-            .retain(|endpoint| endpoints.contains_key(endpoint));
         let pools = &self.settings.pools;
         self.retries.retain(|pool| pools.contains_key(pool));
         self.limits.configure(now, &self.settings.callers);
         self.configure_rollouts(now);
         self.note(Note::RevisionInForce { revision, source });
+    }
+
     /// Takes the revision that a peer names, as long as none is in force here.
     pub(super) fn hear(&mut self, from: &InstanceId, revision: Revision) {
         if !self.fold.is_released() {
@@ -177,8 +177,6 @@
         self.adopt(now, "peer");
     }
 
-    }
-
     /// Appends a record to the stream of its kind, unless the budget holds it back.
     ///
     /// Returns the number of the append. What is held back is tried again by whoever needs it.
--- a/wisteriaford_core/src/instance/requests/asking.rs
+++ b/wisteriaford_core/src/instance/requests/asking.rs
@@ -213,7 +213,7 @@
         let Some(configured) = settings.endpoints.get(endpoint) else {
             return false;
         };
-        let is_leaving = configured.leaving || self.leaving_endpoints.contains(endpoint);
+        let is_leaving = configured.leaving || self.leaving.contains(endpoint);
         let availability = self.availability_of(endpoint);
         let is_fit = availability.is_none_or(|seen| seen == Availability::Serving);
         let is_fresh = version >= active.oldest_version;
--- a/wisteriaford_core/src/instance/rollouts.rs
+++ b/wisteriaford_core/src/instance/rollouts.rs
@@ -40,7 +40,7 @@
                 .rollouts
                 .entry(pool.id.clone())
                 .or_insert_with(|| Rollout::new(pool, seed));
-            let leaving = &self.leaving_endpoints;
+            let leaving = &self.leaving;
             rollout.configure(pool, |endpoint| {
                 let configured = settings.endpoints.get(endpoint);
                 configured.is_some_and(|e| e.leaving) || leaving.contains(endpoint)
--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod instance;
 pub mod label;
 pub mod lease;
+pub mod leaving;
 pub mod limits;
 pub mod membership;
 pub mod note;
--- a/wisteriaford_core/src/steward.rs
+++ b/wisteriaford_core/src/steward.rs
@@ -85,6 +85,28 @@
     is_granted: bool,
 }
 
+/// Who says that an endpoint is leaving; one is enough.
+#[derive(Clone, Copy, Debug, Default)]
+struct LeavingBy {
+    configuration: bool,
+    list: bool,
+    endpoint: bool,
+}
+
+impl LeavingBy {
+    fn cause(self) -> Option<&'static str> {
+        if self.configuration {
+            Some("configuration")
+        } else if self.list {
+            Some("instance list")
+        } else if self.endpoint {
+            Some("endpoint")
+        } else {
+            None
+        }
+    }
+}
+
 /// One endpoint that this instance looks after.
 struct Stewarded {
     address: CompactString,
@@ -93,7 +115,7 @@
     failed: Vec<Fingerprint>,
     next_poll_at: Timestamp,
     silent_polls: u32,
-    is_leaving: bool,
+    leaving: LeavingBy,
     report: Option<EndpointReport>,
     availability: Availability,
     cause: &'static str,
@@ -159,9 +181,7 @@
         if let Some(stewarded) = self.endpoints.get_mut(endpoint) {
             stewarded.address.clone_from(&configured.address);
             stewarded.queue.configure(queue_settings, &weights);
-            if configured.leaving {
-                stewarded.leave("configuration");
-            }
+            stewarded.leaving.configuration = configured.leaving;
         }
         is_new
     }
@@ -171,10 +191,10 @@
         self.endpoints.shift_remove(endpoint);
     }
 
-    /// Notes that the platform or the configuration says that an endpoint is leaving.
-    pub fn note_leaving(&mut self, endpoint: &EndpointId, cause: &'static str) {
+    /// Takes whether the platform's list says that an endpoint is leaving.
+    pub fn set_listed_leaving(&mut self, endpoint: &EndpointId, is_leaving: bool) {
         if let Some(stewarded) = self.endpoints.get_mut(endpoint) {
-            stewarded.leave(cause);
+            stewarded.leaving.list = is_leaving;
         }
     }
 
@@ -347,7 +367,7 @@
             failed: Vec::new(),
             next_poll_at: now,
             silent_polls: 0,
-            is_leaving: false,
+            leaving: LeavingBy::default(),
             report: None,
             availability: Availability::Swapping,
             cause: NOT_POLLED,
@@ -393,14 +413,6 @@
         self.report.map_or(Version(0), |report| report.version)
     }
 
-    /// Leaving is remembered: a lagging list or report must not take it back.
-    fn leave(&mut self, cause: &'static str) {
-        if !self.is_leaving {
-            self.is_leaving = true;
-            self.cause = cause;
-        }
-    }
-
     fn reported(&mut self, now: Timestamp, report: EndpointReport) -> Option<Crash> {
         self.next_poll_at = now + POLL_INTERVAL;
         self.silent_polls = 0;
@@ -408,11 +420,10 @@
         let restarted = before.filter(|before| before.incarnation != report.incarnation);
         if restarted.is_some() {
             // Another program answers now, so what was said of the one before is over.
-            self.is_leaving = false;
-        }
-        if report.leaving {
-            self.leave("endpoint");
+            self.leaving.endpoint = false;
         }
+        // It is remembered, as a report that lags must not take it back.
+        self.leaving.endpoint |= report.leaving;
         if restarted.is_none() {
             self.failed.clear();
         }
@@ -449,8 +460,8 @@
     fn update_availability(&mut self) -> Option<(Availability, Availability)> {
         let (now, cause) = if self.silent_polls >= SILENT_POLLS {
             (Availability::Down, "no answer to polls")
-        } else if self.is_leaving {
-            (Availability::EndpointLeaving, self.cause)
+        } else if let Some(cause) = self.leaving.cause() {
+            (Availability::EndpointLeaving, cause)
         } else if self.report.is_none() {
             (Availability::Swapping, NOT_POLLED)
         } else {
