Tell the weight rollout which endpoints the list says are leaving

The rollout learnt of endpoints listed as leaving only with the next revision. Until then they counted for the capacity kept in service: with two of four engines leaving, neither of the others was ever swapped, and trainers ahead by two versions got no sample.

--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -481,8 +481,10 @@
         self.membership.hint(instances);
         let endpoints = &self.settings.endpoints;
         let is_configured = |endpoint: &EndpointId| endpoints.contains_key(endpoint);
-        self.leaving.listed(now, instances, is_configured);
-        self.apply_leaving();
+        if self.leaving.listed(now, instances, is_configured) {
+            self.apply_leaving();
+            self.configure_rollouts(now);
+        }
     }
 
     /// Tells routing and queues which endpoints the platform's list says are leaving.
--- a/wisteriaford_core/src/leaving.rs
+++ b/wisteriaford_core/src/leaving.rs
@@ -32,20 +32,23 @@
 
     /// Takes a list; an endpoint that it does not name stays as it was.
     ///
-    /// What is neither listed nor configured is forgotten.
+    /// What is neither listed nor configured is forgotten. Returns whether the endpoints that
+    /// are leaving are others than before.
     pub fn listed(
         &mut self,
         now: Timestamp,
         list: &[ListedInstance],
         is_configured: impl Fn(&EndpointId) -> bool,
-    ) {
+    ) -> bool {
+        let before = self.named.len();
+        let mut is_changed = false;
         let states: IndexMap<EndpointId, ListedState> = list
             .iter()
             .map(|listed| (EndpointId::from(listed.id.as_str()), listed.state))
             .collect();
         for (endpoint, state) in &states {
             if *state == ListedState::Leaving {
-                self.named.insert(endpoint.clone(), None);
+                is_changed |= self.named.insert(endpoint.clone(), None).is_none();
             }
         }
         self.named.retain(|endpoint, live_since| {
@@ -60,5 +63,6 @@
             let live_since = *live_since.get_or_insert(now);
             now.since(live_since) < BACK_AFTER
         });
+        is_changed || self.named.len() != before
     }
 }
