Look again before anything new is sent after a pause

An instance that was paused handled what had arrived meanwhile by what it knew before the pause: it granted itself slots of endpoints that had been leaving for many seconds. After two seconds without an event it now polls its endpoints and the list first and sends nothing new for a second; what was granted or claimed in that second asks anew. Checking the age of a grant was ruled out: a grant may rightly come long after its ask, from a full queue.

--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -76,6 +76,10 @@
 const SHARES_WINDOW: Duration = Duration::from_secs(60);
 /// Claims of the whole fleet that are remembered.
 const MAX_CLAIMS: usize = 500_000;
+/// Time without an event after which the process was paused.
+const PAUSE_THRESHOLD: Duration = Duration::from_secs(2);
+/// Time in which an instance that was paused hears what changed.
+const REST: Duration = Duration::from_secs(1);
 /// Longest time between two ticks.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -154,6 +158,10 @@
     append_sequence: u64,
     claim_sequence: u64,
     is_leaving: bool,
+    /// When the last event was handled.
+    handled_at: Option<Timestamp>,
+    /// Until when nothing new is sent to endpoints, as the process was paused.
+    rests_until: Timestamp,
 }
 
 /// When things that are done at an interval are due next.
@@ -216,6 +224,8 @@
             append_sequence: 0,
             claim_sequence: 0,
             is_leaving: false,
+            handled_at: None,
+            rests_until: Timestamp::default(),
             identity,
             options,
         }
@@ -225,6 +235,7 @@
     ///
     /// Times must not go back from one call to the next.
     pub fn handle(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
+        self.note_pause(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Peer(message) => self.peer(now, &message),
@@ -248,6 +259,23 @@
         effects.append(&mut self.effects);
     }
 
+    /// Notes whether the process was paused, so that what it knows of endpoints is old.
+    ///
+    /// It looks at endpoints and at the platform's list again before it sends them anything new.
+    fn note_pause(&mut self, now: Timestamp) {
+        let handled_at = self.handled_at.replace(now);
+        let gap = handled_at.map_or(Duration::ZERO, |at| now.since(at));
+        if gap < PAUSE_THRESHOLD {
+            return;
+        }
+        self.rests_until = now + REST;
+        self.timers.next_listing = now + REST;
+        self.effects.push(Effect::PollInstances);
+        self.stewards.distrust_reports(now);
+        let gap_ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+        self.note(Note::Paused { gap_ms });
+    }
+
     /// Lets queues, claims and steps act on what an event changed.
     fn settle(&mut self, now: Timestamp) {
         self.poll_claims(now);
--- a/wisteriaford_core/src/instance/claims.rs
+++ b/wisteriaford_core/src/instance/claims.rs
@@ -100,6 +100,10 @@
         let Some(claim) = self.claims_of.get(request) else {
             return;
         };
+        if now < self.rests_until {
+            self.start_over(now, request);
+            return;
+        }
         if self.claims.dispatch(now, claim) {
             self.open(now, request);
             return;
--- a/wisteriaford_core/src/instance/requests/asking.rs
+++ b/wisteriaford_core/src/instance/requests/asking.rs
@@ -192,6 +192,10 @@
             return;
         };
         let asks = asks.clone();
+        if now < self.rests_until {
+            self.start_over(now, &request);
+            return;
+        }
         if !self.may_dispatch(active, &endpoint, Version(grant.version)) {
             self.withdraw(now, &request, &attempt);
             return;
@@ -202,6 +206,20 @@
         self.dispatch(now, &request, attempt, endpoint);
     }
 
+    /// Gives back what a request holds and lets it ask anew, after a pause once that is made up for.
+    pub(in crate::instance) fn start_over(&mut self, now: Timestamp, request: &RequestId) {
+        let Some(active) = self.requests.get_mut(request) else {
+            return;
+        };
+        let resting = Phase::BackingOff(self.rests_until);
+        let before = std::mem::replace(&mut active.phase, resting);
+        let stopped = Active {
+            phase: before,
+            ..active.clone()
+        };
+        self.stop(now, &stopped);
+    }
+
     /// Checks an endpoint once more, right before a request is sent to it.
     pub(in crate::instance) fn may_dispatch(
         &self,
@@ -346,6 +364,12 @@
             return;
         };
         let mut asks = asks.clone();
+        asks.retain(|ask| self.settings.endpoints.contains_key(&ask.endpoint));
+        if asks.is_empty() {
+            // All were taken out of the configuration meanwhile.
+            self.start_over(now, request);
+            return;
+        }
         for ask in &mut asks {
             if let Some(steward) = self.steward_of(&ask.endpoint) {
                 ask.steward = steward;
--- a/wisteriaford_core/src/note.rs
+++ b/wisteriaford_core/src/note.rs
@@ -142,6 +142,11 @@
         /// Holder now.
         to: InstanceId,
     },
+    /// The process was paused; it looks again before it sends anything new.
+    Paused {
+        /// Time without an event, in milliseconds.
+        gap_ms: u64,
+    },
     /// The instance began to shut down.
     ShutdownBegun {
         /// Requests in progress.
--- a/wisteriaford_core/src/steward.rs
+++ b/wisteriaford_core/src/steward.rs
@@ -116,6 +116,8 @@
     next_poll_at: Timestamp,
     silent_polls: u32,
     leaving: LeavingBy,
+    /// Whether the last report is older than a pause of this process.
+    is_distrusted: bool,
     report: Option<EndpointReport>,
     availability: Availability,
     cause: &'static str,
@@ -198,6 +200,15 @@
         }
     }
 
+    /// Grants nothing until each endpoint was polled again, after a pause of this process.
+    pub fn distrust_reports(&mut self, now: Timestamp) {
+        for stewarded in self.endpoints.values_mut() {
+            stewarded.is_distrusted = true;
+            stewarded.next_poll_at = now;
+            stewarded.update_availability();
+        }
+    }
+
     /// Takes a request for a slot.
     ///
     /// # Errors
@@ -368,6 +379,7 @@
             next_poll_at: now,
             silent_polls: 0,
             leaving: LeavingBy::default(),
+            is_distrusted: false,
             report: None,
             availability: Availability::Swapping,
             cause: NOT_POLLED,
@@ -416,6 +428,7 @@
     fn reported(&mut self, now: Timestamp, report: EndpointReport) -> Option<Crash> {
         self.next_poll_at = now + POLL_INTERVAL;
         self.silent_polls = 0;
+        self.is_distrusted = false;
         let before = self.report.replace(report);
         let restarted = before.filter(|before| before.incarnation != report.incarnation);
         if restarted.is_some() {
@@ -462,7 +475,7 @@
             (Availability::Down, "no answer to polls")
         } else if let Some(cause) = self.leaving.cause() {
             (Availability::EndpointLeaving, cause)
-        } else if self.report.is_none() {
+        } else if self.report.is_none() || self.is_distrusted {
             (Availability::Swapping, NOT_POLLED)
         } else {
             (Availability::Serving, "answers polls")
