Drop asks for endpoints that a new configuration does not name

A request that waited for a slot of an endpoint which was taken out of the configuration asked its former steward again and again, was told not_steward each time, and failed by its deadline.

--- a/wisteriaford_core/src/instance/requests/asking.rs
+++ b/wisteriaford_core/src/instance/requests/asking.rs
@@ -384,3 +384,9 @@
         }
     }
 }
+        asks.retain(|ask| self.settings.endpoints.contains_key(&ask.endpoint));
+        if asks.is_empty() {
+            // All were taken out of the configuration meanwhile.
+            self.start_over(now, request);
+            return;
+        }
