--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -21,7 +21,6 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use crate::budget::AppendBudget;
 use crate::claim::ClaimSettings;
@@ -44,6 +43,7 @@
 use crate::id::Revision;
 use crate::instance::caches::Followed;
 use crate::lease::Leases;
+use crate::leaving::Leaving;
 use crate::limits::Limits;
 use crate::membership::Member;
 use crate::membership::MemberState;
@@ -78,6 +78,10 @@
 const SHARES_WINDOW: Duration = Duration::from_secs(60);
 /// Claims of the whole fleet that are remembered.
 const MAX_CLAIMS: usize = 500_000;
+/// Time without an event after which the process was paused.
+const PAUSE_THRESHOLD: Duration = Duration::from_secs(2);
+/// Time in which an instance that was paused hears what changed.
+const REST: Duration = Duration::from_secs(1);
 /// Longest time between two ticks.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -125,6 +129,8 @@
     placement: Rendezvous,
     stewards_of: IndexMap<EndpointId, InstanceId>,
     is_placed: bool,
+    /// Revisions that peers named, until there is a configuration in force.
+    heard: IndexMap<InstanceId, Revision>,
     exchange: Exchange,
     leases: Leases,
     leases_read: bool,
@@ -145,7 +151,7 @@
     claims_of: IndexMap<RequestId, ClaimId>,
     claimants: IndexMap<ClaimId, RequestId>,
     steps: Steps,
-    leaving_endpoints: IndexSet<EndpointId>,
+    leaving: Leaving,
     explanations: Explanations,
     counters: Counters,
     effects: Vec<Effect>,
@@ -155,6 +161,10 @@
     append_sequence: u64,
     claim_sequence: u64,
     is_leaving: bool,
+    /// When the last event was handled.
+    handled_at: Option<Timestamp>,
+    /// Until when nothing new is sent to endpoints, as the process was paused.
+    rests_until: Timestamp,
 }
 
 /// When things that are done at an interval are due next.
@@ -187,6 +197,7 @@
             placement: Rendezvous::default(),
             stewards_of: IndexMap::new(),
             is_placed: false,
+            heard: IndexMap::new(),
             exchange: Exchange::new(identity.id.clone(), identity.incarnation, seed),
             leases: Leases::new(identity.id.clone(), identity.incarnation.0),
             leases_read: false,
@@ -207,7 +218,7 @@
             claims_of: IndexMap::new(),
             claimants: IndexMap::new(),
             steps: Steps::default(),
-            leaving_endpoints: IndexSet::new(),
+            leaving: Leaving::default(),
             explanations: Explanations::default(),
             counters: Counters::default(),
             effects: Vec::new(),
@@ -217,6 +228,8 @@
             append_sequence: 0,
             claim_sequence: 0,
             is_leaving: false,
+            handled_at: None,
+            rests_until: Timestamp::default(),
             identity,
             options,
         }
@@ -226,6 +239,7 @@
     ///
     /// Times must not go back from one call to the next.
     pub fn handle(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
+        self.note_pause(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Peer(message) => self.peer(now, &message),
@@ -237,7 +251,7 @@
             Event::Ordered(endpoint, answer) => self.ordered(now, &endpoint, answer),
             Event::LogRead(stream, result) => self.log_read(now, stream, result),
             Event::Appended(append, result) => self.appended(append, result),
-            Event::Listed(instances) => self.listed(&instances),
+            Event::Listed(instances) => self.listed(now, &instances),
             Event::Announced(model, version) => self.announced(now, &model, version),
             Event::Scored(ticket, result) => {
                 self.with_steps(now, |steps, view, out| {
@@ -250,6 +264,23 @@
         effects.append(&mut self.effects);
     }
 
+    /// Notes whether the process was paused, so that what it knows of endpoints is old.
+    ///
+    /// It looks at endpoints and at the platform's list again before it sends them anything new.
+    fn note_pause(&mut self, now: Timestamp) {
+        let handled_at = self.handled_at.replace(now);
+        let gap = handled_at.map_or(Duration::ZERO, |at| now.since(at));
+        if gap < PAUSE_THRESHOLD {
+            return;
+        }
+        self.rests_until = now + REST;
+        self.timers.next_listing = now + REST;
+        self.effects.push(Effect::PollInstances);
+        self.stewards.distrust_reports(now);
+        let gap_ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+        self.note(Note::Paused { gap_ms });
+    }
+
     /// Lets queues, claims and steps act on what an event changed.
     fn settle(&mut self, now: Timestamp) {
         self.poll_claims(now);
