Check names, codes and entries by one rule each

The client had its own copy of the rule for names and of three codes, and the checks of a configuration walked each of its four sections in the same six lines. The client asks the core now, and the sections share one walk. The two modules that write generated pages stay alike: sharing eighteen lines would need a crate that both programs depend on. The tests of both crates pass as they stood.

--- a/wisteriaford_client/src/message.rs
+++ b/wisteriaford_client/src/message.rs
@@ -4,6 +4,8 @@
 use derive_more::Error;
 use serde::Deserialize;
 use serde::Serialize;
+use wisteriaford_core::id::MAX_ID_LEN_BYTES;
+use wisteriaford_core::id::RequestId;
 use wisteriaford_core::index_set::IndexSet;
 
 /// Most samples that a step may have; every index is below it.
@@ -13,7 +15,7 @@
 /// Longest prompt, in bytes.
 pub const MAX_PROMPT_LEN_BYTES: usize = 1 << 20;
 /// Longest name of a caller, pool, route or request, in bytes.
-pub const MAX_NAME_LEN_BYTES: usize = 128;
+pub const MAX_NAME_LEN_BYTES: usize = MAX_ID_LEN_BYTES;
 /// Longest time that a request may ask for, in milliseconds.
 pub const MAX_TIMEOUT_MS: u64 = 3_600_000;
 /// Longest time that a pull may wait, in milliseconds.
@@ -21,12 +23,14 @@
 
 /// Stable codes of errors that a client acts on.
 pub mod code {
+    use wisteriaford_core::refusal::RefusalReason;
+
     /// The instance has no configuration yet.
-    pub const NO_CONFIGURATION: &str = "no_configuration";
+    pub const NO_CONFIGURATION: &str = RefusalReason::NoConfiguration.code();
     /// The instance is shutting down.
-    pub const SHUTTING_DOWN: &str = "shutting_down";
+    pub const SHUTTING_DOWN: &str = RefusalReason::ShuttingDown.code();
     /// No instance knows the step and the pull brought no spec.
-    pub const STEP_UNKNOWN: &str = "step_unknown";
+    pub const STEP_UNKNOWN: &str = RefusalReason::StepUnknown.code();
     /// The instance does not know the request.
     pub const REQUEST_UNKNOWN: &str = "request_unknown";
     /// The service takes no more at this rate.
@@ -463,12 +467,10 @@
 
 /// Checks a name of a caller, pool, route or request.
 pub(crate) fn check_name(field: &'static str, name: &str) -> Result<(), MessageError> {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:/".contains(c);
-    let fits = !name.is_empty() && name.len() <= MAX_NAME_LEN_BYTES;
-    if fits && name.chars().all(allowed) {
-        return Ok(());
+    match name.parse::<RequestId>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(MessageError::BadName { field }),
     }
-    Err(MessageError::BadName { field })
 }
 
 fn check_prompt(prompt: &str) -> Result<(), MessageError> {
--- a/wisteriaford_core/src/validation.rs
+++ b/wisteriaford_core/src/validation.rs
@@ -249,6 +249,36 @@
     }
 }
 
+/// Entry that has a name.
+trait Named {
+    fn name(&self) -> &str;
+}
+
+macro_rules! named {
+    ($($entry:ty),+) => {
+        $(impl Named for $entry {
+            fn name(&self) -> &str {
+                &self.name
+            }
+        })+
+    };
+}
+
+named!(Pool, Endpoint, Caller, Route);
+
+/// Returns the entries of a section, each with its place for faults.
+fn subjects<T: Named>(section: Section, entries: &[T]) -> impl Iterator<Item = (Subject<'_>, &T)> {
+    entries.iter().enumerate().map(move |(index, entry)| {
+        let name = entry.name();
+        let subject = Subject {
+            section,
+            index,
+            name,
+        };
+        (subject, entry)
+    })
+}
+
 #[derive(Default)]
 struct Check {
     faults: Vec<Fault>,
@@ -260,15 +290,8 @@
         if configuration.pools.is_empty() {
             self.section_fault(section, FaultKind::Empty);
         }
-        let names = configuration.pools.iter().map(|pool| pool.name.as_str());
-        self.section(section, names);
-        for (index, pool) in configuration.pools.iter().enumerate() {
-            let name = pool.name.as_str();
-            let subject = Subject {
-                section,
-                index,
-                name,
-            };
+        self.section(section, &configuration.pools);
+        for (subject, pool) in subjects(section, &configuration.pools) {
             self.pool(&subject, pool, configuration);
         }
     }
@@ -356,8 +379,7 @@
 
     fn endpoints(&mut self, configuration: &Configuration) {
         let section = Section::Endpoints;
-        let names = configuration.endpoints.iter().map(|e| e.name.as_str());
-        self.section(section, names);
+        self.section(section, &configuration.endpoints);
         let models: HashMap<&str, bool> = configuration
             .pools
             .iter()
@@ -365,13 +387,8 @@
             .collect();
         let mut addresses = HashMap::new();
         let mut regions = HashMap::new();
-        for (index, endpoint) in configuration.endpoints.iter().enumerate() {
-            let name = endpoint.name.as_str();
-            let subject = Subject {
-                section,
-                index,
-                name,
-            };
+        for (subject, endpoint) in subjects(section, &configuration.endpoints) {
+            let index = subject.index;
             self.endpoint(&subject, endpoint, models.get(endpoint.pool.as_str()));
             if let Some(address) = self.address(&subject, "address", &endpoint.address) {
                 let first = *addresses.entry(address).or_insert(index);
@@ -419,15 +436,8 @@
 
     fn callers(&mut self, configuration: &Configuration) {
         let section = Section::Callers;
-        let names = configuration.callers.iter().map(|c| c.name.as_str());
-        self.section(section, names);
-        for (index, caller) in configuration.callers.iter().enumerate() {
-            let name = caller.name.as_str();
-            let subject = Subject {
-                section,
-                index,
-                name,
-            };
+        self.section(section, &configuration.callers);
+        for (subject, caller) in subjects(section, &configuration.callers) {
             self.caller(&subject, caller);
         }
     }
@@ -447,15 +457,8 @@
 
     fn routes(&mut self, configuration: &Configuration) {
         let section = Section::Routes;
-        let names = configuration.routes.iter().map(|r| r.name.as_str());
-        self.section(section, names);
-        for (index, route) in configuration.routes.iter().enumerate() {
-            let name = route.name.as_str();
-            let subject = Subject {
-                section,
-                index,
-                name,
-            };
+        self.section(section, &configuration.routes);
+        for (subject, route) in subjects(section, &configuration.routes) {
             self.route(&subject, route, configuration);
         }
     }
@@ -491,22 +494,17 @@
     }
 
     /// Checks the length of a section and the names in it.
-    fn section<'a>(&mut self, section: Section, names: impl ExactSizeIterator<Item = &'a str>) {
-        let len = names.len();
+    fn section<T: Named>(&mut self, section: Section, entries: &[T]) {
+        let len = entries.len();
         if len > MAX_SECTION_LEN {
             self.section_fault(section, FaultKind::TooMany { len });
         }
         let mut first_by_name = HashMap::new();
-
-        for (index, name) in names.enumerate() {
-            let subject = Subject {
-                section,
-                index,
-                name,
-            };
+        for (subject, entry) in subjects(section, entries) {
+            let name = entry.name();
             self.name(&subject, "name", name);
-            let first = *first_by_name.entry(name).or_insert(index);
-            if first != index {
+            let first = *first_by_name.entry(name).or_insert(subject.index);
+            if first != subject.index {
                 let value = name.to_owned();
                 self.fault(&subject, "name", FaultKind::DuplicateName { value, first });
             }
