--- a/extra/completions/wisteriafordd.fish
+++ b/extra/completions/wisteriafordd.fish
@@ -10,7 +10,7 @@
 complete -c wisteriafordd -l max-connections -d 'Connections of callers served at once, 1 to 65536' -r
 complete -c wisteriafordd -l max-body-bytes -d 'Longest body that a caller may send, in bytes, 1024 to 268435456' -r
 complete -c wisteriafordd -l default-timeout-ms -d 'Time that a generation has if its caller names none, in milliseconds, 100 to 3600000; not less than the silence timeout' -r
-complete -c wisteriafordd -l silence-timeout-ms -d 'Longest silence of an endpoint or of the platform before a call is given up, in milliseconds, 100 to 60000' -r
+complete -c wisteriafordd -l silence-timeout-ms -d 'Longest silence of the platform, or of an endpoint that is polled or given an order, before the call is given up, in milliseconds, 100 to 60000' -r
 complete -c wisteriafordd -l shutdown-timeout-ms -d 'Longest time that a graceful shutdown waits for requests in progress, in milliseconds, 0 to 3600000' -r
 complete -c wisteriafordd -l log-level -d 'Least severe level of the lines logged' -r -f -a "off\t''
 error\t''
--- a/wisteriafordd/src/arguments.rs
+++ b/wisteriafordd/src/arguments.rs
@@ -137,8 +137,8 @@
     )]
     pub(crate) default_timeout_ms: u64,
 
-    /// Longest silence of an endpoint or of the platform before a call is given up, in
-    /// milliseconds, 100 to 60000.
+    /// Longest silence of the platform, or of an endpoint that is polled or given an order, before
+    /// the call is given up, in milliseconds, 100 to 60000.
     #[arg(
         long,
         env = "WISTERIAFORD_SILENCE_TIMEOUT_MS",
