Count the retries of steps, lost slots and leaving endpoints

Five of the ten retry reasons and two counters stood at 0 whatever happened: what the step logic counts for itself never reached the metrics, a slot that was refused or taken back was not counted, and an endpoint that said it is leaving was counted as swapping. The step counters are added as they rise, so that the step logic still knows nothing of metrics.

Slow samples and lost slots have no test of their count yet.

--- a/wisteriaford_core/src/counters.rs
+++ b/wisteriaford_core/src/counters.rs
@@ -98,7 +98,12 @@
 
     /// Counts a retry.
     pub fn retried(&mut self, reason: RetryReason) {
-        *self.retries.entry(reason).or_default() += 1;
+        self.add_retries(reason, 1);
+    }
+
+    /// Counts several retries.
+    pub fn add_retries(&mut self, reason: RetryReason, count: u64) {
+        *self.retries.entry(reason).or_default() += count;
     }
 
     /// Adds to a counter.
--- a/wisteriaford_core/src/event.rs
+++ b/wisteriaford_core/src/event.rs
@@ -201,8 +201,10 @@
     NotConnected,
     /// The endpoint said that it did not run the request, as it was overloaded.
     Overloaded,
-    /// The endpoint said that it did not run the request, as it is leaving or swapping.
-    Unavailable,
+    /// The endpoint said that it did not run the request, as it is loading weights.
+    Swapping,
+    /// The endpoint said that it did not run the request, as it is leaving.
+    Leaving,
     /// The connection broke after a byte may have left.
     Broken,
     /// Nothing came for longer than the pool allows.
@@ -216,7 +218,7 @@
     #[must_use]
     pub const fn proves_not_run(self) -> bool {
         match self {
-            Self::NotConnected | Self::Overloaded | Self::Unavailable => true,
+            Self::NotConnected | Self::Overloaded | Self::Swapping | Self::Leaving => true,
             Self::Broken | Self::Silent | Self::Malformed => false,
         }
     }
@@ -227,7 +229,8 @@
         match self {
             Self::NotConnected => RetryReason::ConnectFailed,
             Self::Overloaded => RetryReason::EndpointOverloaded,
-            Self::Unavailable => RetryReason::EndpointSwapping,
+            Self::Swapping => RetryReason::EndpointSwapping,
+            Self::Leaving => RetryReason::EndpointLeaving,
             Self::Broken | Self::Malformed => RetryReason::ConnectionLost,
             Self::Silent => RetryReason::Silence,
         }
--- a/wisteriaford_core/src/instance/requests/asking.rs
+++ b/wisteriaford_core/src/instance/requests/asking.rs
@@ -19,6 +19,7 @@
 use crate::quarantine::Verdict;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalReason;
+use crate::refusal::RetryReason;
 use crate::request::Active;
 use crate::request::Ask;
 use crate::request::Phase;
@@ -241,6 +242,7 @@
         active.avoid.push(ask.endpoint.clone());
         self.release(now, &ask.attempt, &ask.endpoint, 0, false);
         if is_last {
+            self.counters.retried(RetryReason::SlotLost);
             self.ask(now, request);
         }
     }
@@ -296,6 +298,7 @@
             | RefusalReason::Deadline
             | RefusalReason::CallerInFlightLimit => self.give_up(now, request, denial),
             _ => {
+                self.counters.retried(RetryReason::SlotLost);
                 if let Some(active) = self.requests.get_mut(request) {
                     active.avoid.push(ask.endpoint);
                 }
--- a/wisteriaford_core/src/instance/steps.rs
+++ b/wisteriaford_core/src/instance/steps.rs
@@ -14,6 +14,7 @@
 use crate::id::RequestId;
 use crate::id::StepKey;
 use crate::placement::Placement;
+use crate::refusal::RetryReason;
 use crate::reply::Reply;
 use crate::request::Active;
 use crate::request::Origin;
@@ -27,6 +28,7 @@
 use crate::step::ScoreItem;
 use crate::step::ScoreTicket;
 use crate::step::Start;
+use crate::step::StepCounters;
 use crate::step::StepOutput;
 use crate::step::StepView;
 use crate::step::Steps;
@@ -77,12 +79,33 @@
             placement: &self.placement,
             pools,
         };
+        let before = self.steps.counters();
         act(&mut self.steps, &view, &mut outputs);
+        self.count_since(before);
         for output in outputs {
             self.step_output(now, output);
         }
     }
 
+    /// Counts what the step logic did since its own counters stood at `before`.
+    fn count_since(&mut self, before: StepCounters) {
+        let after = self.steps.counters();
+        let too_old = after.too_old - before.too_old;
+        let second_attempts = after.second_attempts - before.second_attempts;
+        let score_failures = after.score_failures - before.score_failures;
+        let refused = after.attempts_refused - before.attempts_refused;
+        let lost = after.attempts_lost - before.attempts_lost;
+        let incomplete = after.attempts_incomplete - before.attempts_incomplete;
+        let counters = &mut self.counters;
+        counters.add(Counter::SamplesTooOld, too_old);
+        counters.add(Counter::SecondAttempts, second_attempts);
+        counters.add_retries(RetryReason::SampleTooOld, too_old);
+        counters.add_retries(RetryReason::Straggler, second_attempts);
+        counters.add_retries(RetryReason::ScorerFailed, score_failures);
+        counters.add_retries(RetryReason::SlotLost, refused);
+        counters.add_retries(RetryReason::ConnectionLost, lost + incomplete);
+    }
+
     fn pool_facts(&self) -> indexmap::IndexMap<PoolId, PoolFacts> {
         let pools = self.settings.pools.values();
         let facts = pools.filter(|pool| pool.model.is_some()).map(|pool| {
--- a/wisteriaford_fakes/src/fleet/border.rs
+++ b/wisteriaford_fakes/src/fleet/border.rs
@@ -201,7 +201,7 @@
         }
         engine.begun += 1;
         if engine.is_leaving {
-            self.fail(id, &attempt.id, AttemptFailure::Unavailable);
+            self.fail(id, &attempt.id, AttemptFailure::Leaving);
             return;
         }
         let running = engine.streams.values().filter(|s| !s.is_waiting).count();
--- a/wisteriafordd/src/endpoint.rs
+++ b/wisteriafordd/src/endpoint.rs
@@ -196,7 +196,8 @@
         AttemptError::Http(HttpError::NotConnected) => AttemptFailure::NotConnected,
         AttemptError::Http(HttpError::Status { code, .. }) => match code.as_str() {
             "overloaded" => AttemptFailure::Overloaded,
-            "swapping" | "leaving" => AttemptFailure::Unavailable,
+            "swapping" => AttemptFailure::Swapping,
+            "leaving" => AttemptFailure::Leaving,
             _ => AttemptFailure::Malformed,
         },
         AttemptError::Http(HttpError::Lost(_)) | AttemptError::Stream(StreamError::Broken) => {
