Note a request that crashed two endpoints

The line that says so was defined and never written. The steward of the endpoint that crashed last writes it once for that crash, not the entry at each refusal: a caller that sends the request again and again would fill the log. In virtual time a request that crashes each engine gives one line, an innocent none.

--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -26,6 +26,7 @@
 use crate::exchange::ExchangeOutput;
 use crate::id::AttemptId;
 use crate::id::EndpointId;
+use crate::id::Fingerprint;
 use crate::id::InstanceId;
 use crate::membership::ListedInstance;
 use crate::membership::ListedState;
@@ -35,6 +36,7 @@
 use crate::note::Note;
 use crate::placement::EndpointPlace;
 use crate::placement::Placement;
+use crate::quarantine::Verdict;
 use crate::settings::Pool;
 use crate::steward::HEARTBEAT_INTERVAL;
 use crate::steward::StewardOutput;
@@ -149,8 +151,11 @@
             } => {
                 self.counters.add(Counter::EndpointCrashes, 1);
                 self.quarantine.note_crash(now, &crash, &suspects);
-                let suspects = suspects.len();
-                self.note(Note::EndpointCrashed { endpoint, suspects });
+                self.note(Note::EndpointCrashed {
+                    endpoint: endpoint.clone(),
+                    suspects: suspects.len(),
+                });
+                self.note_quarantined(now, &endpoint, &suspects);
             }
             StewardOutput::Reached(endpoint, version) => {
                 self.note(Note::SwapDone { endpoint, version });
@@ -158,6 +163,26 @@
         }
     }
 
+    /// Notes which suspects of a crash are refused from now on.
+    fn note_quarantined(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        suspects: &[Fingerprint],
+    ) {
+        let Some(pool) = self.settings.pool_of(endpoint) else {
+            return;
+        };
+        let hold = pool.quarantine;
+        for &suspect in suspects {
+            let verdict = self.quarantine.verdict(now, suspect, hold);
+            if matches!(verdict, Verdict::Refused { .. }) {
+                let fingerprint = suspect.0;
+                self.note(Note::RequestQuarantined { fingerprint });
+            }
+        }
+    }
+
     fn queue_output(&mut self, now: Timestamp, endpoint: &EndpointId, output: QueueOutput) {
         match output {
             QueueOutput::Grant {
--- /dev/null
+++ b/wisteriaford_fakes/tests/notes.rs
@@ -0,0 +1,56 @@
+//! Lines that tell operators of a settled failure.
+
+#[path = "support/small_fleet.rs"]
+mod small_fleet;
+
+use std::time::Duration;
+
+use wisteriaford_core::note::Note;
+use wisteriaford_core::refusal::RefusalReason;
+use wisteriaford_core::reply::Reply;
+use wisteriaford_fakes::Fleet;
+
+use crate::small_fleet::fleet;
+use crate::small_fleet::generation;
+
+fn quarantined(fleet: &Fleet) -> Vec<u64> {
+    let notes = fleet.notes.iter();
+    notes
+        .filter_map(|(_, _, note)| match note {
+            Note::RequestQuarantined { fingerprint } => Some(*fingerprint),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn request_that_crashed_two_endpoints_is_noted_once_for_the_crash() {
+    let (mut fleet, instances) = fleet();
+    for engine in fleet.engines.values_mut() {
+        engine.crash_marker = Some("poison".into());
+    }
+
+    fleet.call(&instances[0], generation("poison")).unwrap();
+    fleet.run_for(Duration::from_secs(60));
+
+    let notes = quarantined(&fleet);
+    assert_eq!(notes.len(), 1, "{notes:?}");
+    let answers = fleet.take_answers();
+    let [answer] = answers.as_slice() else {
+        panic!("{} answers", answers.len());
+    };
+    assert!(matches!(
+        &answer.reply,
+        Reply::Refused(_, refusal) if refusal.reason == RefusalReason::Quarantined
+    ));
+}
+
+#[test]
+fn request_that_crashed_no_endpoint_is_not_noted() {
+    let (mut fleet, instances) = fleet();
+
+    fleet.call(&instances[0], generation("hello")).unwrap();
+    fleet.run_for(Duration::from_secs(30));
+
+    assert!(quarantined(&fleet).is_empty());
+}
