Look at a pool's endpoints only when a step needs them

Each tick and each message about steps counted the free slots of all pools first, also where no step was known. The facts of a pool are now made when they are asked for, once a call.

--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -35,7 +35,6 @@
 use crate::note::Note;
 use crate::placement::EndpointPlace;
 use crate::placement::Placement;
-use crate::settings::Pool;
 use crate::steward::HEARTBEAT_INTERVAL;
 use crate::steward::StewardOutput;
 use crate::time::Timestamp;
@@ -445,20 +444,6 @@
         Some(state.availability())
     }
 
-    /// Returns the slots of a pool that seem to be free.
-    pub(super) fn free_slots(&self, pool: &Pool) -> usize {
-        let endpoints = pool.endpoints.iter();
-        endpoints
-            .filter_map(|id| self.settings.endpoints.get(id))
-            .filter_map(|endpoint| {
-                let state = self.exchange.endpoint(&endpoint.id)?;
-                let is_serving = state.availability() == Availability::Serving;
-                let taken = (state.in_flight + state.queued) as usize;
-                is_serving.then(|| endpoint.slots.saturating_sub(taken))
-            })
-            .sum()
-    }
-
     /// Takes the answer of an endpoint to a poll.
     pub(super) fn polled(
         &mut self,
--- a/wisteriaford_core/src/instance/steps.rs
+++ b/wisteriaford_core/src/instance/steps.rs
@@ -1,14 +1,18 @@
 //! Training steps: what the step logic wants done.
 
+use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::format_compact;
+use indexmap::IndexMap;
+use wisteriaford_proto::fleet::Availability;
 
 use super::Instance;
 use crate::counters::Counter;
 use crate::effect::Effect;
 use crate::event::Ticket;
+use crate::exchange::Exchange;
 use crate::id::InstanceId;
 use crate::id::PoolId;
 use crate::id::RequestId;
@@ -19,6 +23,8 @@
 use crate::request::Origin;
 use crate::request::Partial;
 use crate::request::Phase;
+use crate::settings::Pool;
+use crate::settings::Settings;
 use crate::step::FinishedSample;
 use crate::step::PoolFacts;
 use crate::step::SampleAttempt;
@@ -42,7 +48,10 @@
 struct View<'a> {
     me: &'a InstanceId,
     placement: &'a dyn Placement,
-    pools: indexmap::IndexMap<PoolId, PoolFacts>,
+    settings: &'a Settings,
+    exchange: &'a Exchange,
+    /// Facts that were asked for.
+    pools: RefCell<IndexMap<PoolId, PoolFacts>>,
 }
 
 impl StepView for View<'_> {
@@ -59,7 +68,34 @@
     }
 
     fn pool(&self, pool: &PoolId) -> Option<PoolFacts> {
-        self.pools.get(pool).copied()
+        if let Some(facts) = self.pools.borrow().get(pool) {
+            return Some(*facts);
+        }
+        let pool = self.settings.pools.get(pool)?;
+        pool.model.as_ref()?;
+        let facts = PoolFacts {
+            staleness_bound_versions: pool.staleness_bound_versions,
+            has_scorer: pool.scorer_address.is_some(),
+            free_slots: self.free_slots(pool),
+        };
+        self.pools.borrow_mut().insert(pool.id.clone(), facts);
+        Some(facts)
+    }
+}
+
+impl View<'_> {
+    /// Returns the slots of a pool that seem to be free.
+    fn free_slots(&self, pool: &Pool) -> usize {
+        let endpoints = pool.endpoints.iter();
+        endpoints
+            .filter_map(|id| self.settings.endpoints.get(id))
+            .filter_map(|endpoint| {
+                let state = self.exchange.endpoint(&endpoint.id)?;
+                let is_serving = state.availability() == Availability::Serving;
+                let taken = (state.in_flight + state.queued) as usize;
+                is_serving.then(|| endpoint.slots.saturating_sub(taken))
+            })
+            .sum()
     }
 }
 
@@ -71,11 +107,12 @@
         act: impl FnOnce(&mut Steps, &dyn StepView, &mut Vec<StepOutput>),
     ) {
         let mut outputs = Vec::new();
-        let pools = self.pool_facts();
         let view = View {
             me: &self.identity.id,
             placement: &self.placement,
-            pools,
+            settings: &self.settings,
+            exchange: &self.exchange,
+            pools: RefCell::default(),
         };
         act(&mut self.steps, &view, &mut outputs);
         for output in outputs {
@@ -83,19 +120,6 @@
         }
     }
 
-    fn pool_facts(&self) -> indexmap::IndexMap<PoolId, PoolFacts> {
-        let pools = self.settings.pools.values();
-        let facts = pools.filter(|pool| pool.model.is_some()).map(|pool| {
-            let facts = PoolFacts {
-                staleness_bound_versions: pool.staleness_bound_versions,
-                has_scorer: pool.scorer_address.is_some(),
-                free_slots: self.free_slots(pool),
-            };
-            (pool.id.clone(), facts)
-        });
-        facts.collect()
-    }
-
     fn step_output(&mut self, now: Timestamp, output: StepOutput) {
         match output {
             StepOutput::Start(start) => self.start_sample(now, start),
