Ask first whether an engine wants weights at all

Every 50 ms each instance asked, for all engines of a pool, whether it looks after them and has a lease; an engine that runs the newest weights needs neither answer. The order of the conditions changes, what is ordered does not.

--- a/wisteriaford_core/src/rollout.rs
+++ b/wisteriaford_core/src/rollout.rs
@@ -230,7 +230,8 @@
         let due = self
             .engines
             .iter()
-            .filter(|(endpoint, engine)| stewarded(endpoint) && self.is_due(now, engine))
+            .filter(|(_, engine)| self.wants(now, engine))
+            .filter(|(endpoint, engine)| stewarded(endpoint) && self.has_turn(now, engine))
             .min_by_key(|(_, engine)| engine.rank);
         let endpoint = due?.0.clone();
         if self.out_of_service() >= self.floor_out || self.loading() >= self.width {
@@ -244,12 +245,12 @@
         Some(Order { endpoint, version })
     }
 
-    fn is_due(&self, now: Timestamp, engine: &Engine) -> bool {
+    fn wants(&self, now: Timestamp, engine: &Engine) -> bool {
         let Some(state) = engine.state else {
             return false;
         };
         let wants = state.version < self.target && state.serving && state.loading.is_none();
-        wants && engine.ordered.is_none() && now >= engine.retry_at && self.has_turn(now, engine)
+        wants && engine.ordered.is_none() && now >= engine.retry_at
     }
 
     fn has_turn(&self, now: Timestamp, engine: &Engine) -> bool {
