Keep the stewards of endpoints as instances come and go

Each change of the view hashed every endpoint against every instance. With 600 endpoints and 420 instances that was done up to twenty times a second while a fleet joins. Now an instance that comes contends with the stewards known, and only endpoints whose steward went are placed anew; a new revision places all. Ways weighed: doing it less often, which leaves duties behind; keeping all ranks sorted for each endpoint, 250,000 numbers an instance.

A table kept over 200 changes is compared with one made anew.

--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -37,7 +37,6 @@
 use crate::id::AttemptId;
 use crate::id::ClaimId;
 use crate::id::EndpointId;
-use crate::id::InstanceId;
 use crate::id::PoolId;
 use crate::id::RequestId;
 use crate::id::Revision;
@@ -48,6 +47,7 @@
 use crate::membership::Membership;
 use crate::note::Note;
 use crate::placement::Rendezvous;
+use crate::placement::StewardTable;
 use crate::quarantine::Quarantine;
 use crate::reply::Reply;
 use crate::request::Active;
@@ -121,7 +121,8 @@
     in_force: Revision,
     membership: Membership,
     placement: Rendezvous,
-    stewards_of: IndexMap<EndpointId, InstanceId>,
+    stewards_of: StewardTable,
+    placed_revision: Revision,
     is_placed: bool,
     exchange: Exchange,
     leases: Leases,
@@ -182,7 +183,8 @@
             in_force: Revision(0),
             membership: Membership::new(me, &options.seeds, seed),
             placement: Rendezvous::default(),
-            stewards_of: IndexMap::new(),
+            stewards_of: StewardTable::default(),
+            placed_revision: Revision(0),
             is_placed: false,
             exchange: Exchange::new(identity.id.clone(), identity.incarnation, seed),
             leases: Leases::new(identity.id.clone(), identity.incarnation.0),
--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -34,7 +34,6 @@
 use crate::membership::Sender;
 use crate::note::Note;
 use crate::placement::EndpointPlace;
-use crate::placement::Placement;
 use crate::steward::HEARTBEAT_INTERVAL;
 use crate::steward::StewardOutput;
 use crate::time::Timestamp;
@@ -269,15 +268,14 @@
         // A new steward hears at once of what runs, so that it may grant soon.
         self.timers.next_heartbeat = now;
         let settings = self.settings.clone();
-        self.stewards_of = settings
-            .endpoints
-            .values()
-            .filter_map(|endpoint| {
-                let place = EndpointPlace::from(endpoint);
-                let steward = self.placement.steward(&place)?;
-                Some((endpoint.id.clone(), steward.id.clone()))
-            })
-            .collect();
+        if self.placed_revision == self.in_force {
+            self.stewards_of.set_candidates(&self.placement);
+        } else {
+            self.placed_revision = self.in_force;
+            let places = settings.endpoints.values().map(EndpointPlace::from);
+            let places = places.collect();
+            self.stewards_of.set_endpoints(places, &self.placement);
+        }
         let held: Vec<EndpointId> = self.stewards.endpoints().cloned().collect();
         for endpoint in held {
             self.leave_endpoint(endpoint);
--- a/wisteriaford_core/src/placement.rs
+++ b/wisteriaford_core/src/placement.rs
@@ -4,6 +4,7 @@
 //! seconds: two instances may then have the same duty, which costs efficiency alone.
 
 use compact_str::CompactString;
+use indexmap::IndexMap;
 use wisteriaford_proto::settings::EndpointKind;
 
 use crate::hash::rendezvous_rank;
@@ -103,6 +104,77 @@
     }
 }
 
+/// Stewards of all endpoints, kept as instances come and go.
+///
+/// A change of the instances costs in proportion to those that came and went, not to all.
+#[derive(Clone, Debug, Default)]
+pub struct StewardTable {
+    places: Vec<EndpointPlace>,
+    candidates: IndexMap<InstanceId, Candidate>,
+    stewards: IndexMap<EndpointId, InstanceId>,
+}
+
+impl StewardTable {
+    /// Returns the steward of an endpoint.
+    #[must_use]
+    pub fn get(&self, endpoint: &EndpointId) -> Option<&InstanceId> {
+        self.stewards.get(endpoint)
+    }
+
+    /// Sets the endpoints that need stewards.
+    pub fn set_endpoints(&mut self, places: Vec<EndpointPlace>, placement: &Rendezvous) {
+        self.places = places;
+        self.candidates = by_id(placement);
+        self.stewards.clear();
+        for place in &self.places {
+            if let Some(steward) = placement.steward(place) {
+                self.stewards.insert(place.id.clone(), steward.id.clone());
+            }
+        }
+    }
+
+    /// Follows a change of the instances.
+    pub fn set_candidates(&mut self, placement: &Rendezvous) {
+        let before = std::mem::replace(&mut self.candidates, by_id(placement));
+        let now = &self.candidates;
+        let stays = |id: &InstanceId| before.get(id).filter(|known| now.get(id) == Some(known));
+        let came: Vec<&Candidate> = now.values().filter(|c| stays(&c.id).is_none()).collect();
+        if came.is_empty() && now.len() == before.len() {
+            return;
+        }
+        for place in &self.places {
+            let known = self.stewards.get(&place.id).and_then(stays);
+            let steward = match known {
+                Some(known) => {
+                    let contenders = came.iter().copied().chain(std::iter::once(known));
+                    contenders.max_by_key(|candidate| fitness(place, candidate))
+                }
+                None => placement.steward(place),
+            };
+            match steward {
+                Some(steward) => self.stewards.insert(place.id.clone(), steward.id.clone()),
+                None => self.stewards.swap_remove(&place.id),
+            };
+        }
+    }
+}
+
+fn by_id(placement: &Rendezvous) -> IndexMap<InstanceId, Candidate> {
+    let candidates = placement.candidates().iter();
+    candidates.map(|c| (c.id.clone(), c.clone())).collect()
+}
+
+/// Orders candidates for the steward of an endpoint: its zone, its region, the hash, the id.
+fn fitness<'a>(
+    place: &EndpointPlace,
+    candidate: &'a Candidate,
+) -> (bool, bool, u64, &'a InstanceId) {
+    let in_zone = candidate.availability_zone == place.availability_zone;
+    let in_region = candidate.region == place.region;
+    let rank = rendezvous_rank(place.id.as_str(), candidate.id.as_str());
+    (in_zone, in_region, rank, &candidate.id)
+}
+
 impl<'a> FromIterator<&'a Member> for Rendezvous {
     fn from_iter<I: IntoIterator<Item = &'a Member>>(members: I) -> Self {
         Self::new(members.into_iter().map(Candidate::from).collect())
--- a/wisteriaford_core/tests/placement.rs
+++ b/wisteriaford_core/tests/placement.rs
@@ -1,5 +1,6 @@
 //! Duties move as little as possible.
 
+use wisteriaford_core::hash::hash_parts;
 use wisteriaford_core::id::AvailabilityZone;
 use wisteriaford_core::id::CallerId;
 use wisteriaford_core::id::EndpointId;
@@ -11,6 +12,7 @@
 use wisteriaford_core::placement::EndpointPlace;
 use wisteriaford_core::placement::Placement;
 use wisteriaford_core::placement::Rendezvous;
+use wisteriaford_core::placement::StewardTable;
 use wisteriaford_proto::settings::EndpointKind;
 
 const ZONES: usize = 5;
@@ -120,3 +122,36 @@
     assert!(alone.owner(&step(1)).is_some());
     assert_eq!(alone.keeper(&step(1)), None);
 }
+
+#[test]
+fn table_kept_over_changes_is_the_one_made_anew() {
+    let places: Vec<EndpointPlace> = (0..100).map(place).collect();
+    let mut table = StewardTable::default();
+    table.set_endpoints(places.clone(), &placement(|_| false));
+
+    for round in 0..200_u64 {
+        let drawn = |c: &Candidate| hash_parts(&[c.id.as_str().as_bytes(), &round.to_le_bytes()]);
+        // Now and then a zone or all instances are gone, or an instance has moved.
+        let is_lost = |c: &Candidate| match round % 10 {
+            7 => c.availability_zone.as_str() == "zone-1",
+            9 => true,
+            part => drawn(c) % 10 < part,
+        };
+        let candidates = (0..INSTANCES).map(candidate).filter(|c| !is_lost(c));
+        let moved = candidates.map(|c| match drawn(&c) % 7 {
+            0 => Candidate {
+                availability_zone: AvailabilityZone::from("zone-4"),
+                region: Region::from("region-1"),
+                ..c
+            },
+            _ => c,
+        });
+        let now = Rendezvous::new(moved.collect());
+        table.set_candidates(&now);
+
+        for place in &places {
+            let anew = now.steward(place).map(|steward| &steward.id);
+            assert_eq!(table.get(&place.id), anew, "round {round}");
+        }
+    }
+}
