--- a/wisteriaford_core/src/exchange.rs
+++ b/wisteriaford_core/src/exchange.rs
@@ -239,6 +239,12 @@
         }
     }
 
+    /// Returns whether the next round is due.
+    #[must_use]
+    pub fn is_due(&self, now: Timestamp) -> bool {
+        now >= self.round_at
+    }
+
     /// Sends what is due to a few of the peers that are alive; to be called several times a second.
     pub fn tick(
         &mut self,
@@ -247,7 +253,7 @@
         revision: Revision,
         out: &mut Vec<ExchangeOutput>,
     ) {
-        if now < self.round_at {
+        if !self.is_due(now) {
             return;
         }
         self.round_at = now + ROUND;
--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -358,6 +358,9 @@
         for endpoint in endpoints {
             self.report_endpoint(now, &endpoint);
         }
+        if !self.exchange.is_due(now) {
+            return;
+        }
         let alive = self.membership.alive();
         let others = alive.filter(|member| member.id != self.identity.id);
         let peers: Vec<Sender> = others
