--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -50,6 +50,7 @@
 use crate::membership::Membership;
 use crate::note::Note;
 use crate::placement::Rendezvous;
+use crate::placement::StewardTable;
 use crate::quarantine::Quarantine;
 use crate::reply::Reply;
 use crate::request::Active;
@@ -127,7 +128,8 @@
     in_force: Revision,
     membership: Membership,
     placement: Rendezvous,
-    stewards_of: IndexMap<EndpointId, InstanceId>,
+    stewards_of: StewardTable,
+    placed_revision: Revision,
     is_placed: bool,
     /// Revisions that peers named, until there is a configuration in force.
     heard: IndexMap<InstanceId, Revision>,
@@ -195,7 +197,8 @@
             in_force: Revision(0),
             membership: Membership::new(me, &options.seeds, seed),
             placement: Rendezvous::default(),
-            stewards_of: IndexMap::new(),
+            stewards_of: StewardTable::default(),
+            placed_revision: Revision(0),
             is_placed: false,
             heard: IndexMap::new(),
             exchange: Exchange::new(identity.id.clone(), identity.incarnation, seed),
--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -35,9 +35,7 @@
 use crate::membership::Sender;
 use crate::note::Note;
 use crate::placement::EndpointPlace;
-use crate::placement::Placement;
 use crate::quarantine::Verdict;
-use crate::settings::Pool;
 use crate::steward::HEARTBEAT_INTERVAL;
 use crate::steward::StewardOutput;
 use crate::time::Timestamp;
@@ -299,15 +297,14 @@
         // A new steward hears at once of what runs, so that it may grant soon.
         self.timers.next_heartbeat = now;
         let settings = self.settings.clone();
-        self.stewards_of = settings
-            .endpoints
-            .values()
-            .filter_map(|endpoint| {
-                let place = EndpointPlace::from(endpoint);
-                let steward = self.placement.steward(&place)?;
-                Some((endpoint.id.clone(), steward.id.clone()))
-            })
-            .collect();
+        if self.placed_revision == self.in_force {
+            self.stewards_of.set_candidates(&self.placement);
+        } else {
+            self.placed_revision = self.in_force;
+            let places = settings.endpoints.values().map(EndpointPlace::from);
+            let places = places.collect();
+            self.stewards_of.set_endpoints(places, &self.placement);
+        }
         let held: Vec<EndpointId> = self.stewards.endpoints().cloned().collect();
         for endpoint in held {
             self.leave_endpoint(endpoint);
@@ -391,6 +388,9 @@
         for endpoint in endpoints {
             self.report_endpoint(now, &endpoint);
         }
+        if !self.exchange.is_due(now) {
+            return;
+        }
         let alive = self.membership.alive();
         let others = alive.filter(|member| member.id != self.identity.id);
         let peers: Vec<Sender> = others
@@ -476,20 +476,6 @@
         Some(state.availability())
     }
 
-    /// Returns the slots of a pool that seem to be free.
-    pub(super) fn free_slots(&self, pool: &Pool) -> usize {
-        let endpoints = pool.endpoints.iter();
-        endpoints
-            .filter_map(|id| self.settings.endpoints.get(id))
-            .filter_map(|endpoint| {
-                let state = self.exchange.endpoint(&endpoint.id)?;
-                let is_serving = state.availability() == Availability::Serving;
-                let taken = (state.in_flight + state.queued) as usize;
-                is_serving.then(|| endpoint.slots.saturating_sub(taken))
-            })
-            .sum()
-    }
-
     /// Takes the answer of an endpoint to a poll.
     pub(super) fn polled(
         &mut self,
--- a/wisteriaford_core/src/instance/requests/asking.rs
+++ b/wisteriaford_core/src/instance/requests/asking.rs
@@ -387,9 +387,3 @@
         }
     }
 }
-        asks.retain(|ask| self.settings.endpoints.contains_key(&ask.endpoint));
-        if asks.is_empty() {
-            // All were taken out of the configuration meanwhile.
-            self.start_over(now, request);
-            return;
-        }
