--- a/wisteriaford_bench/src/measure/naive.rs
+++ b/wisteriaford_bench/src/measure/naive.rs
@@ -300,6 +300,7 @@
             work: Work::Generate(job.work.clone()),
             priority: Priority::Batch,
             from_token: 0,
+            silence_timeout: Duration::ZERO,
         }));
         self.jobs.insert(id, job);
     }
