Measure the policy against a naive version in virtual time

Cause: idle time and staleness under load and faults were never measured. The bench drives the real instances, or a naive version behind the same events and effects, in front of the same fake engines, with the callers and faults of both users. Weighed: a second driver for the naive version (then engines or clients could differ by mistake) against letting the fake fleet take what decides in place of the core; the latter is taken.

--- a/wisteriaford_bench/src/lib.rs
+++ b/wisteriaford_bench/src/lib.rs
@@ -1,4 +1,5 @@
 //! Trials and measurements of the fleet: as real processes over TCP, and of the decisions alone.
 
+pub mod measure;
 pub mod processes;
 pub mod quickstart;
--- a/wisteriaford_bench/src/main.rs
+++ b/wisteriaford_bench/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::Parser;
 use clap::Subcommand;
+use wisteriaford_bench::measure;
 use wisteriaford_bench::quickstart;
 
 /// Tries out and measures a fleet of wisteriaford daemons on this machine.
@@ -18,10 +19,13 @@
 enum Command {
     /// Run the whole path as separate processes and check what the users were promised
     Quickstart(quickstart::Settings),
+    /// Measure the policy under load and faults, in virtual time
+    Measure(measure::Settings),
 }
 
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Quickstart(settings) => quickstart::main(&settings),
+        Command::Measure(settings) => measure::main(&settings),
     }
 }
--- /dev/null
+++ b/wisteriaford_bench/src/measure/naive.rs
@@ -0,0 +1,452 @@
+//! Naive version of an instance, to compare the core with.
+//!
+//! It sends everything to the engines at once and round robin, lets them serve first come first
+//! served, starts no second attempt, resumes no stream, keeps no second copy, refuses nothing,
+//! and lets the first listed instance order the engines to new weights one by one in their order.
+//! It scores nothing, which spares it the scorer's time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use indexmap::IndexMap;
+use wisteriaford_core::effect::Attempt;
+use wisteriaford_core::effect::Effect;
+use wisteriaford_core::event::AttemptEvent;
+use wisteriaford_core::event::CallerRequest;
+use wisteriaford_core::event::Event;
+use wisteriaford_core::event::Ticket;
+use wisteriaford_core::hash::hash_parts;
+use wisteriaford_core::id::AttemptId;
+use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::Fence;
+use wisteriaford_core::id::InstanceId;
+use wisteriaford_core::id::ModelId;
+use wisteriaford_core::id::PoolId;
+use wisteriaford_core::id::PullNumber;
+use wisteriaford_core::id::RequestId;
+use wisteriaford_core::id::StepKey;
+use wisteriaford_core::id::Version;
+use wisteriaford_core::index_set::IndexSet;
+use wisteriaford_core::label::Label;
+use wisteriaford_core::label::Span;
+use wisteriaford_core::refusal::Refusal;
+use wisteriaford_core::refusal::RefusalReason;
+use wisteriaford_core::reply::Generated;
+use wisteriaford_core::reply::Reply;
+use wisteriaford_core::step::FinishedSample;
+use wisteriaford_core::step::PullAnswer;
+use wisteriaford_core::step::StepSpec;
+use wisteriaford_core::step::sample_seed;
+use wisteriaford_core::time::Timestamp;
+use wisteriaford_core::work::Generation;
+use wisteriaford_core::work::Work;
+use wisteriaford_fakes::Decide;
+use wisteriaford_proto::settings::Endpoint;
+use wisteriaford_proto::settings::Priority;
+use wisteriaford_proto::step::VersionSpan;
+
+use super::scenario::TRAINED;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(60);
+const SAMPLES_PER_ANSWER: usize = 64;
+
+/// Endpoints by pool: names and addresses.
+#[derive(Debug, Default)]
+pub(super) struct Plan {
+    pools: IndexMap<PoolId, Vec<(EndpointId, CompactString)>>,
+}
+
+impl From<&[Endpoint]> for Plan {
+    fn from(endpoints: &[Endpoint]) -> Self {
+        let mut plan = Self::default();
+        for endpoint in endpoints {
+            let pool = PoolId::from(endpoint.pool.as_str());
+            let id = EndpointId::from(endpoint.name.as_str());
+            let address = CompactString::from(&endpoint.address);
+            plan.pools.entry(pool).or_default().push((id, address));
+        }
+        plan
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Origin {
+    Caller(Ticket),
+    Sample(StepKey, u32),
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    origin: Origin,
+    pool: PoolId,
+    work: Generation,
+    endpoint: EndpointId,
+    text: String,
+    label: Label,
+}
+
+#[derive(Debug, Default)]
+struct Step {
+    total: u32,
+    ready: IndexMap<u32, FinishedSample>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    ticket: Ticket,
+    key: StepKey,
+    number: PullNumber,
+    received: IndexSet,
+    until: Timestamp,
+}
+
+/// Naive version of an instance.
+#[derive(Debug)]
+pub(super) struct Naive {
+    me: InstanceId,
+    plan: Arc<Plan>,
+    turn: usize,
+    sequence: u64,
+    jobs: IndexMap<AttemptId, Job>,
+    again: Vec<Job>,
+    steps: IndexMap<StepKey, Step>,
+    waiters: Vec<Waiter>,
+    announced: Version,
+    versions: IndexMap<EndpointId, Version>,
+    is_first: bool,
+    next_poll: Timestamp,
+}
+
+impl Decide for Naive {
+    fn handle(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
+        match event {
+            Event::Tick => self.tick(now, effects),
+            Event::Caller(ticket, request) => self.caller(now, ticket, request, effects),
+            Event::Attempt(attempt, event) => self.attempt(now, &attempt, event, effects),
+            Event::Polled(endpoint, Ok(report)) => {
+                self.versions.insert(endpoint, report.version);
+            }
+            Event::Announced(model, version) if model.as_str() == TRAINED => {
+                self.announced = version;
+            }
+            Event::Listed(instances) => {
+                let first = instances.iter().map(|listed| &listed.id).min();
+                self.is_first = first == Some(&self.me);
+            }
+            Event::CallerGone(ticket) => self.caller_gone(ticket, effects),
+            _ => {}
+        }
+    }
+}
+
+impl Naive {
+    /// Returns an instance that knows the endpoints.
+    #[must_use]
+    pub(super) fn new(me: InstanceId, plan: Arc<Plan>) -> Self {
+        Self {
+            me,
+            plan,
+            turn: 0,
+            sequence: 0,
+            jobs: IndexMap::new(),
+            again: Vec::new(),
+            steps: IndexMap::new(),
+            waiters: Vec::new(),
+            announced: Version(1),
+            versions: IndexMap::new(),
+            is_first: false,
+            next_poll: Timestamp(0),
+        }
+    }
+
+    fn tick(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        for job in std::mem::take(&mut self.again) {
+            self.open(now, job, effects);
+        }
+        self.answer(now, effects);
+        if now < self.next_poll {
+            return;
+        }
+        self.next_poll = now + POLL_INTERVAL;
+        effects.push(Effect::PollInstances);
+        effects.push(Effect::PollModel(ModelId::from(TRAINED)));
+        if self.is_first {
+            self.order(effects);
+        }
+    }
+
+    /// Orders the first engine that is behind, and asks all for their versions.
+    fn order(&self, effects: &mut Vec<Effect>) {
+        let pool = PoolId::from(TRAINED);
+        let engines = self.plan.pools.get(&pool).map_or(&[][..], Vec::as_slice);
+        for (endpoint, address) in engines {
+            effects.push(Effect::Poll {
+                endpoint: endpoint.clone(),
+                address: address.clone(),
+            });
+        }
+        let is_behind = |(endpoint, _): &&(EndpointId, CompactString)| {
+            let version = self.versions.get(endpoint);
+            version.is_some_and(|version| *version < self.announced)
+        };
+        if let Some((endpoint, address)) = engines.iter().find(is_behind) {
+            effects.push(Effect::Order {
+                endpoint: endpoint.clone(),
+                address: address.clone(),
+                fence: Fence(1),
+                version: self.announced,
+            });
+        }
+    }
+
+    fn caller(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        request: CallerRequest,
+        effects: &mut Vec<Effect>,
+    ) {
+        match request {
+            CallerRequest::Generate {
+                pool,
+                prompt,
+                max_tokens,
+                ..
+            } => {
+                let seed = hash_parts(&[prompt.as_bytes()]);
+                let work = Generation {
+                    prompt,
+                    seed,
+                    max_tokens,
+                };
+                self.open(now, job(Origin::Caller(ticket), pool, work), effects);
+            }
+            CallerRequest::Pull {
+                trainer,
+                step: number,
+                pool,
+                pull,
+                received,
+                wait,
+                spec: Some(spec),
+                ..
+            } => {
+                let key = StepKey { trainer, number };
+                let Ok(received) = IndexSet::try_from(received.as_slice()) else {
+                    return;
+                };
+                self.begin(now, &key, &pool, &spec, &received, effects);
+                self.waiters.retain(|waiter| waiter.key != key);
+                self.waiters.push(Waiter {
+                    ticket,
+                    key,
+                    number: pull,
+                    received,
+                    until: now + wait,
+                });
+                self.answer(now, effects);
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts all samples of a step that is new here.
+    fn begin(
+        &mut self,
+        now: Timestamp,
+        key: &StepKey,
+        pool: &PoolId,
+        spec: &StepSpec,
+        received: &IndexSet,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.steps.contains_key(key) {
+            return;
+        }
+        self.steps.retain(|known, _| known.trainer != key.trainer);
+        let step = Step {
+            total: spec.total(),
+            ready: IndexMap::new(),
+        };
+        self.steps.insert(key.clone(), step);
+        for index in (0..spec.total()).filter(|index| !received.contains(*index)) {
+            let work = Generation {
+                prompt: Arc::from(spec.prompt_of(index)),
+                seed: sample_seed(key, index),
+                max_tokens: spec.max_tokens,
+            };
+            let origin = Origin::Sample(key.clone(), index);
+            self.open(now, job(origin, pool.clone(), work), effects);
+        }
+    }
+
+    /// Sends a job to the engine whose turn it is.
+    fn open(&mut self, _now: Timestamp, mut job: Job, effects: &mut Vec<Effect>) {
+        let Some(engines) = self.plan.pools.get(&job.pool) else {
+            return;
+        };
+        self.turn += 1;
+        self.sequence += 1;
+        let (endpoint, address) = &engines[self.turn % engines.len()];
+        let id = AttemptId::from(format_compact!("{}/{}", self.me, self.sequence).as_str());
+        job.endpoint = endpoint.clone();
+        effects.push(Effect::Open(Attempt {
+            id: id.clone(),
+            request: RequestId::from(id.as_str()),
+            endpoint: endpoint.clone(),
+            address: address.clone(),
+            work: Work::Generate(job.work.clone()),
+            priority: Priority::Batch,
+            silence_timeout: SILENCE_TIMEOUT,
+            from_token: 0,
+        }));
+        self.jobs.insert(id, job);
+    }
+
+    /// Cancels what a caller waits for no longer.
+    fn caller_gone(&mut self, gone: Ticket, effects: &mut Vec<Effect>) {
+        let is_it = |job: &Job| matches!(job.origin, Origin::Caller(ticket) if ticket == gone);
+        let place = self.jobs.values().position(is_it);
+        let Some((attempt, job)) = place.and_then(|place| self.jobs.swap_remove_index(place))
+        else {
+            return;
+        };
+        let engines = self
+            .plan
+            .pools
+            .get(&job.pool)
+            .map_or(&[][..], Vec::as_slice);
+        let mut engines = engines.iter();
+        if let Some((_, address)) = engines.find(|(endpoint, _)| *endpoint == job.endpoint) {
+            let address = address.clone();
+            effects.push(Effect::Cancel { attempt, address });
+        }
+    }
+
+    fn attempt(
+        &mut self,
+        now: Timestamp,
+        id: &AttemptId,
+        event: AttemptEvent,
+        effects: &mut Vec<Effect>,
+    ) {
+        match event {
+            AttemptEvent::Tokens {
+                from_token,
+                tokens,
+                text,
+                version,
+            } => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.text.push_str(&text);
+                    let to_token = from_token + tokens;
+                    let _ = job.label.append(Span {
+                        from_token,
+                        to_token,
+                        version,
+                    });
+                }
+            }
+            AttemptEvent::Finished { .. } => {
+                if let Some(job) = self.jobs.swap_remove(id) {
+                    self.finish(now, job, effects);
+                }
+            }
+            AttemptEvent::Failed(_) => {
+                if let Some(job) = self.jobs.swap_remove(id) {
+                    self.fail(job, effects);
+                }
+            }
+            AttemptEvent::Answered { .. } => {}
+        }
+    }
+
+    fn finish(&mut self, now: Timestamp, job: Job, effects: &mut Vec<Effect>) {
+        match job.origin {
+            Origin::Caller(ticket) => {
+                let spans = job.label.spans().iter().map(|span| VersionSpan {
+                    from_token: span.from_token,
+                    to_token: span.to_token,
+                    version: span.version.0,
+                });
+                let generated = Generated {
+                    request: RequestId::from("naive"),
+                    text: job.text,
+                    tokens: job.label.tokens(),
+                    spans: spans.collect(),
+                    endpoint: job.endpoint,
+                };
+                effects.push(Effect::Reply(ticket, Reply::Generated(generated)));
+            }
+            Origin::Sample(key, index) => {
+                let Some(step) = self.steps.get_mut(&key) else {
+                    return;
+                };
+                let sample = FinishedSample {
+                    index,
+                    group: 0,
+                    text: job.text,
+                    tokens: job.label.tokens(),
+                    label: job.label,
+                    score_milli: None,
+                    instance: self.me.clone(),
+                    endpoint: job.endpoint,
+                };
+                step.ready.insert(index, sample);
+                self.answer(now, effects);
+            }
+        }
+    }
+
+    /// Begins a sample anew; a caller is told that its request failed.
+    fn fail(&mut self, job: Job, effects: &mut Vec<Effect>) {
+        if let Origin::Caller(ticket) = job.origin {
+            let refusal = Refusal::outcome_unknown(RefusalReason::EndpointFailed);
+            effects.push(Effect::Reply(ticket, Reply::Refused(None, refusal)));
+            return;
+        }
+        self.again.push(Job {
+            text: String::new(),
+            label: Label::default(),
+            ..job
+        });
+    }
+
+    /// Answers the pulls that something is ready for, or whose time is over.
+    fn answer(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        let steps = &self.steps;
+        self.waiters.retain(|waiter| {
+            let Some(step) = steps.get(&waiter.key) else {
+                return false;
+            };
+            let ready = step.ready.values();
+            let ready = ready.filter(|sample| !waiter.received.contains(sample.index));
+            let samples: Vec<_> = ready.take(SAMPLES_PER_ANSWER).cloned().collect();
+            if samples.is_empty() && now < waiter.until {
+                return true;
+            }
+            let complete = waiter.received.len() + samples.len() == step.total as usize;
+            let answer = PullAnswer {
+                number: waiter.number,
+                samples,
+                complete,
+            };
+            effects.push(Effect::Reply(waiter.ticket, Reply::Pulled(answer)));
+            false
+        });
+    }
+}
+
+fn job(origin: Origin, pool: PoolId, work: Generation) -> Job {
+    Job {
+        origin,
+        pool,
+        work,
+        endpoint: EndpointId::from(""),
+        text: String::new(),
+        label: Label::default(),
+    }
+}
--- a/wisteriaford_fakes/src/engine.rs
+++ b/wisteriaford_fakes/src/engine.rs
@@ -78,6 +78,10 @@
     pub crashes: u64,
     /// Changes of its prefix cache that it publishes, in the order of their numbers.
     pub cache_events: Vec<CacheEvent>,
+    /// Tokens that it generated.
+    pub tokens_made: u64,
+    /// Loads of weights that failed.
+    pub failed_swaps: u64,
     pub(crate) incarnation: Incarnation,
     pub(crate) version: Version,
     pub(crate) loading: Option<Version>,
@@ -112,6 +116,8 @@
             begun: 0,
             crashes: 0,
             cache_events: Vec::new(),
+            tokens_made: 0,
+            failed_swaps: 0,
             incarnation: Incarnation(1),
             version: settings.start_version,
             loading: None,
@@ -133,6 +139,13 @@
         self.streams.len()
     }
 
+    /// Returns what it generates now, without what waits or went silent.
+    pub fn generating(&self) -> impl Iterator<Item = &Generation> {
+        let streams = self.streams.values();
+        let running = streams.filter(|stream| !stream.is_waiting && !stream.is_silent);
+        running.map(|stream| &stream.work)
+    }
+
     /// Makes the streams open now go silent for good.
     pub fn silence_streams(&mut self) {
         for stream in self.streams.values_mut() {
@@ -180,6 +193,7 @@
         };
         if self.fail_swaps > 0 {
             self.fail_swaps -= 1;
+            self.failed_swaps += 1;
             return;
         }
         self.version = version;
--- a/wisteriaford_fakes/src/fleet.rs
+++ b/wisteriaford_fakes/src/fleet.rs
@@ -33,9 +33,11 @@
 use wisteriaford_core::note::Note;
 use wisteriaford_core::reply::Reply;
 use wisteriaford_core::time::Timestamp;
+use wisteriaford_core::work::Generation;
 
 use crate::engine::Engine;
 use crate::log::Log;
+use crate::node::Maker;
 use crate::node::Node;
 use crate::node::NodeState;
 use crate::schedule::Schedule;
@@ -69,6 +71,8 @@
     pub default_timeout: Duration,
     /// Whether the processor time of each instance is measured.
     pub is_timed: bool,
+    /// Whether finished streams are kept in [`Fleet::finished`].
+    pub is_traced: bool,
 }
 
 impl Default for FleetSettings {
@@ -83,6 +87,7 @@
             score_time: Duration::from_millis(20),
             default_timeout: Duration::from_secs(60),
             is_timed: false,
+            is_traced: false,
         }
     }
 }
@@ -147,6 +152,10 @@
     pub listed: Option<Vec<ListedInstance>>,
     /// Where endpoints run, by address.
     pub zones: IndexMap<CompactString, (AvailabilityZone, Region)>,
+    /// What engines finished, if that is traced; for the driver to take.
+    pub finished: Vec<Generation>,
+    /// Makes what decides in place of the core in each instance started from now on, if set.
+    pub maker: Option<Maker>,
     /// Lines that the instances logged.
     pub notes: Vec<(Timestamp, InstanceId, Note)>,
     /// Processor time of each instance, if it is measured.
@@ -183,6 +192,8 @@
             is_scorer_down: false,
             listed: None,
             zones: IndexMap::new(),
+            finished: Vec::new(),
+            maker: None,
             notes: Vec::new(),
             handle_time: IndexMap::new(),
             remembers_made: false,
@@ -243,6 +254,7 @@
             seed: self.settings.seed ^ run.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         };
         Node {
+            other: self.maker.as_ref().map(|maker| maker(&identity)),
             instance: Instance::new(identity.clone(), options),
             identity,
             state: NodeState::Running,
@@ -392,7 +404,10 @@
         };
         let mut effects: Vec<Effect> = Vec::new();
         let started = self.settings.is_timed.then(Instant::now);
-        node.instance.handle(self.now, event, &mut effects);
+        match &mut node.other {
+            Some(other) => other.handle(self.now, event, &mut effects),
+            None => node.instance.handle(self.now, event, &mut effects),
+        }
         if let Some(started) = started {
             *self.handle_time.entry(id.clone()).or_default() += started.elapsed();
         }
--- a/wisteriaford_fakes/src/fleet/border.rs
+++ b/wisteriaford_fakes/src/fleet/border.rs
@@ -254,8 +254,12 @@
         stream.next_token = to_token;
         let is_done = to_token >= stream.total_tokens;
         let stream = stream.clone();
+        engine.tokens_made += u64::from(to_token.saturating_sub(from_token));
         if is_done {
             engine.streams.shift_remove(attempt);
+            if self.settings.is_traced {
+                self.finished.push(stream.work.clone());
+            }
         }
         self.send_tokens(address, attempt, &stream, (from_token, to_token), version);
         if is_done {
--- a/wisteriaford_fakes/src/lib.rs
+++ b/wisteriaford_fakes/src/lib.rs
@@ -20,5 +20,7 @@
 pub use fleet::Fleet;
 pub use fleet::FleetSettings;
 pub use log::Log;
+pub use node::Decide;
+pub use node::Maker;
 pub use node::NodeState;
 pub use service::Service;
