Let a step have more starts without progress

Cause: trainers wait for slots that are free: a step starts 8 attempts without progress whatever the free slots, and the reports by which it sees more of them lag by half a second. Ruled out: stragglers (a step under way holds only its share: 81 % of its entitlement).

--- a/wisteriaford_core/src/step/limits.rs
+++ b/wisteriaford_core/src/step/limits.rs
@@ -15,7 +15,7 @@
 /// Pulls that wait at an instance at once.
 pub const MAX_WAITING_PULLS: usize = 1_024;
 /// Starts without progress that a step may have, whatever the free slots.
-pub const MIN_START_WINDOW: usize = 8;
+pub const MIN_START_WINDOW: usize = 32;
 /// Starts without progress that a step may have at most.
 pub const MAX_START_WINDOW: usize = 256;
 /// Second attempts that a step may have at once.
