--- a/wisteriaford_bench/src/measure/naive.rs
+++ b/wisteriaford_bench/src/measure/naive.rs
@@ -50,6 +50,7 @@
 use super::scenario::TRAINED;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(60);
 const SAMPLES_PER_ANSWER: usize = 64;
 
 /// Endpoints by pool: names and addresses.
@@ -299,8 +300,8 @@
             address: address.clone(),
             work: Work::Generate(job.work.clone()),
             priority: Priority::Batch,
+            silence_timeout: SILENCE_TIMEOUT,
             from_token: 0,
-            silence_timeout: Duration::ZERO,
         }));
         self.jobs.insert(id, job);
     }
