Say outcome_unknown of a cut-off repeat of a keyed call

The HTTP layer answered not_run to whatever it could not read, also to the repeat of a key whose first call may be running: the rule that the core goes by since it was mended for shut-downs and limits. The layer reads the key and the mark before the rest now. What the core decided stays as it is.

--- a/wisteriafordd/src/server.rs
+++ b/wisteriafordd/src/server.rs
@@ -85,6 +85,7 @@
     }
 
     fn respond(&self, request: &mut Request<Body>) -> Response<Body> {
+        let repeats = question::may_repeat(request.uri().path(), request.headers());
         let failure = match self.route(request) {
             Ok(response) => return response,
             Err(failure) => failure,
@@ -92,7 +93,11 @@
         if let Some(reason) = failure.border_reason() {
             self.shared.border_refusals.count(reason);
         }
-        failure.response()
+        if repeats {
+            failure.response_to_repeat()
+        } else {
+            failure.response()
+        }
     }
 
     fn route(&self, request: &mut Request<Body>) -> Result<Response<Body>, Failure> {
--- a/wisteriafordd/src/server/failure.rs
+++ b/wisteriafordd/src/server/failure.rs
@@ -76,11 +76,26 @@
     /// Returns the failure as an answer with a typed JSON body.
     #[must_use]
     pub fn response(&self) -> Response<Body> {
+        self.with_outcome(self.outcome())
+    }
+
+    /// Returns the failure as an answer to a call whose key may have been sent before.
+    #[must_use]
+    pub fn response_to_repeat(&self) -> Response<Body> {
+        let outcome = match self {
+            // The core knows of the key and said what can be said.
+            Self::Refused(..) => self.outcome(),
+            _ => Some(Outcome::OutcomeUnknown),
+        };
+        self.with_outcome(outcome)
+    }
+
+    fn with_outcome(&self, outcome: Option<Outcome>) -> Response<Body> {
         let body = ErrorAnswer {
             error: ErrorBody {
                 code: self.code().to_owned(),
                 message: self.to_string(),
-                outcome: self.outcome(),
+                outcome,
                 retry_after_ms: self.retry_after().map(whole_ms),
                 request_id: self.request().map(ToString::to_string),
             },
--- a/wisteriafordd/src/server/question.rs
+++ b/wisteriafordd/src/server/question.rs
@@ -24,6 +24,7 @@
 const KEY_HEADER: &str = "idempotency-key";
 const REQUEST_HEADER: &str = "wisteriaford-request-id";
 const TIMEOUT_HEADER: &str = "wisteriaford-timeout-ms";
+const CALL_PATH: &str = "/v1/call/";
 const DEFAULT_CONTENT_TYPE: &str = "application/octet-stream";
 /// Longest key of a call, in bytes.
 const MAX_KEY_LEN_BYTES: usize = 128;
@@ -42,6 +43,15 @@
     Err(Failure::WrongContentType)
 }
 
+/// Returns whether a request is a call whose key its caller may have sent before, so that an
+/// earlier call with that key may run whatever becomes of this one.
+#[must_use]
+pub fn may_repeat(path: &str, headers: &HeaderMap) -> bool {
+    let is_first = headers.get(FIRST_ATTEMPT_HEADER);
+    let is_first = is_first.is_some_and(|value| value.as_bytes() == b"true");
+    path.starts_with(CALL_PATH) && headers.contains_key(KEY_HEADER) && !is_first
+}
+
 /// Reads the id of a request.
 ///
 /// # Errors
--- a/wisteriafordd/tests/http.rs
+++ b/wisteriafordd/tests/http.rs
@@ -4,8 +4,10 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use oxhttp::model::Body;
 use oxhttp::model::HeaderMap;
 use oxhttp::model::HeaderValue;
+use oxhttp::model::Response;
 use oxhttp::model::header::HeaderName;
 use rstest::rstest;
 use serde_json::Value;
@@ -48,7 +50,10 @@
 
 /// Returns the status, the header `retry-after` and the error of an answer.
 fn answer(failure: &Failure) -> (u16, Option<String>, Value) {
-    let response = failure.response();
+    error_of(failure.response())
+}
+
+fn error_of(response: Response<Body>) -> (u16, Option<String>, Value) {
     let status = response.status().as_u16();
     let retry_after = response.headers().get("retry-after");
     let retry_after = retry_after.map(|value| value.to_str().unwrap().to_owned());
@@ -232,6 +237,31 @@
     assert_eq!(error["outcome"], "not_run");
 }
 
+#[rstest]
+#[case("/v1/call/badge-scan", &[("idempotency-key", "k1")], true)]
+#[case("/v1/call/badge-scan", &[("idempotency-key", "k1"), ("wisteriaford-first-attempt", "false")], true)]
+#[case("/v1/call/badge-scan", &[("idempotency-key", "k1"), ("wisteriaford-first-attempt", "true")], false)]
+#[case("/v1/call/badge-scan", &[], false)]
+#[case("/v1/generate", &[("idempotency-key", "k1")], false)]
+fn repeat_of_a_key_is_known(
+    #[case] path: &str,
+    #[case] pairs: &[(&str, &str)],
+    #[case] repeats: bool,
+) {
+    assert_eq!(question::may_repeat(path, &headers(pairs)), repeats);
+}
+
+#[test]
+fn refusal_of_a_repeat_does_not_speak_for_the_first() {
+    let core = Refusal::not_run(RefusalReason::KeyExpired);
+
+    let (_, _, cut_off) = error_of(Failure::TruncatedBody.response_to_repeat());
+    let (_, _, decided) = error_of(Failure::Refused(None, core).response_to_repeat());
+
+    assert_eq!(cut_off["outcome"], "outcome_unknown");
+    assert_eq!(decided["outcome"], "not_run");
+}
+
 #[rstest]
 #[case(&[("content-type", "application/json")], true)]
 #[case(&[("content-type", "Application/JSON; charset=utf-8")], true)]
