Drop asks for endpoints that a new configuration does not name

A request that waited for a slot of an endpoint which was taken out of the configuration asked its former steward again and again, was told not_steward each time, and failed by its deadline.

--- a/wisteriaford_core/src/instance/requests/asking.rs
+++ b/wisteriaford_core/src/instance/requests/asking.rs
@@ -363,13 +363,16 @@
         let Phase::Asking(asks) = &active.phase else {
             return;
         };
-        let mut asks = asks.clone();
-        asks.retain(|ask| self.settings.endpoints.contains_key(&ask.endpoint));
+        let endpoints = &self.settings.endpoints;
+        let is_configured = |ask: &Ask| endpoints.contains_key(&ask.endpoint);
+        let (mut asks, gone): (Vec<Ask>, Vec<Ask>) = asks.iter().cloned().partition(is_configured);
         if asks.is_empty() {
-            // All were taken out of the configuration meanwhile.
             self.start_over(now, request);
             return;
         }
+        for ask in gone {
+            self.release(now, &ask.attempt, &ask.endpoint, 0, false);
+        }
         for ask in &mut asks {
             if let Some(steward) = self.steward_of(&ask.endpoint) {
                 ask.steward = steward;
