Leave the address out of messages between members about slots and steps

These go only to members whose address the view knows, and their receivers answer by name, so the address and the run of the sender were never read: 27 bytes of about 70. Membership and the exchange keep both.

--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -207,7 +207,12 @@
         let Some(address) = member.map(|member| member.address.clone()) else {
             return;
         };
-        let message = self.envelope(body);
+        // Who is a member is known here and there, so the name alone says who sends.
+        let message = PeerMessage {
+            sender: self.identity.id.to_string(),
+            body: Some(body),
+            ..PeerMessage::default()
+        };
         self.effects.push(Effect::Send {
             to: to.clone(),
             address,
