Let requests that had made tokens run beside others after a crash

Cause: each engine crash made all its 16 streams suspects, and as a group shares one prompt, also their siblings; each then drained an engine to run alone. Ruled out: the time that the engine is down (ten seconds of one in twelve). Ways weighed: suspecting only those without a token (a request that crashes late would never be caught), clearing whatever completed once (the same), or counting a crash after progress for less: it leads to running alone at the second and to refusal at the third crash. The last is taken; what had made no token is alone and refused as before.

--- a/wisteriaford_core/src/exchange.rs
+++ b/wisteriaford_core/src/exchange.rs
@@ -459,6 +459,7 @@
                     cleared: sighting.cleared,
                     fingerprint: *fingerprint,
                     crash: crash.to_string(),
+                    progressed: false,
                     age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
                 });
                 crash.len() + size_of::<u64>() * 2
--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -146,10 +146,13 @@
                 endpoint,
                 crash,
                 suspects,
+                progressed,
             } => {
                 self.counters.add(Counter::EndpointCrashes, 1);
                 self.quarantine.note_crash(now, &crash, &suspects);
-                let suspects = suspects.len();
+                self.quarantine
+                    .note_crash_after_progress(now, &crash, &progressed);
+                let suspects = suspects.len() + progressed.len();
                 self.note(Note::EndpointCrashed { endpoint, suspects });
             }
             StewardOutput::Reached(endpoint, version) => {
--- a/wisteriaford_core/src/instance/requests/running.rs
+++ b/wisteriaford_core/src/instance/requests/running.rs
@@ -316,8 +316,9 @@
             active.may_have_run = running.ran_before;
         }
         if failure == AttemptFailure::Broken {
-            // It may have crashed the endpoint, so that others must not run beside it.
-            active.alone = true;
+            // It may have crashed the endpoint, so that others must not run beside it; one that
+            // had made tokens there is the less likely cause.
+            active.alone |= running.tokens == 0 || active.failures > 1;
         }
         active.avoid = vec![running.endpoint.clone()];
         let active = active.clone();
--- a/wisteriaford_core/src/quarantine.rs
+++ b/wisteriaford_core/src/quarantine.rs
@@ -1,7 +1,8 @@
 //! Requests that were in progress when an endpoint crashed.
 //!
 //! One crash makes a request a suspect, which runs alone from then on; a second, distinct crash
-//! has it refused. A run that completes clears it of the crashes seen so far, and the clearing
+//! has it refused. A request that had made tokens at the endpoint is the less likely cause: it
+//! runs beside others until its second crash, and is refused at its third. A run that completes clears it of the crashes seen so far, and the clearing
 //! spreads like the sightings, so that an innocent request isn't condemned by another instance.
 
 use std::time::Duration;
@@ -23,6 +24,8 @@
 pub const GOSSIP_ROUNDS: u32 = 8;
 /// Distinct crashes at which a request is refused.
 pub const CRASHES_TO_REFUSE: usize = 2;
+/// Distinct crashes at which a request is refused that had made tokens at some of them.
+pub const CRASHES_TO_REFUSE_PROGRESSED: usize = 3;
 
 /// Whether a request may run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,6 +45,7 @@
 struct Sighting {
     seen: Timestamp,
     cleared: bool,
+    progressed: bool,
     rounds_left: u32,
 }
 
@@ -75,7 +79,19 @@
     /// as the endpoint with the incarnation that ended.
     pub fn note_crash(&mut self, now: Timestamp, crash: &str, fingerprints: &[Fingerprint]) {
         for &fingerprint in fingerprints {
-            self.insert(fingerprint, crash, now, false);
+            self.insert(fingerprint, crash, now, false, false);
+        }
+    }
+
+    /// Takes the requests that had made tokens at an endpoint before it crashed.
+    pub fn note_crash_after_progress(
+        &mut self,
+        now: Timestamp,
+        crash: &str,
+        fingerprints: &[Fingerprint],
+    ) {
+        for &fingerprint in fingerprints {
+            self.insert(fingerprint, crash, now, false, true);
         }
     }
 
@@ -86,7 +102,8 @@
             return;
         }
         let fingerprint = Fingerprint(suspect.fingerprint);
-        self.insert(fingerprint, &suspect.crash, seen, suspect.cleared);
+        let (cleared, progressed) = (suspect.cleared, suspect.progressed);
+        self.insert(fingerprint, &suspect.crash, seen, cleared, progressed);
     }
 
     /// Clears a request that completed of the crashes seen so far.
@@ -109,14 +126,19 @@
         let hold = hold.min(self.retention);
         let counted = sightings.values().filter(|s| !s.cleared);
         let counted = counted.filter(|s| now.since(s.seen) < hold);
-        let seen: Vec<_> = counted.map(|s| s.seen).collect();
-        match seen.iter().max() {
-            None => Verdict::Free,
-            Some(&last) if seen.len() >= CRASHES_TO_REFUSE => {
-                Verdict::Refused { until: last + hold }
-            }
-            Some(_) => Verdict::Alone,
+        let counted: Vec<_> = counted.collect();
+        let total = counted.len();
+        let fresh = counted.iter().filter(|s| !s.progressed).count();
+        let Some(last) = counted.iter().map(|s| s.seen).max() else {
+            return Verdict::Free;
+        };
+        if fresh >= CRASHES_TO_REFUSE || total >= CRASHES_TO_REFUSE_PROGRESSED {
+            return Verdict::Refused { until: last + hold };
+        }
+        if fresh > 0 || total > 1 {
+            return Verdict::Alone;
         }
+        Verdict::Free
     }
 
     /// Returns sightings to gossip, the least sent first, and forgets what has aged out.
@@ -137,6 +159,7 @@
                 crash: crash.to_string(),
                 age_ms: u64::try_from(now.since(sighting.seen).as_millis()).unwrap_or(u64::MAX),
                 cleared: sighting.cleared,
+                progressed: sighting.progressed,
             }
         });
         updates.collect()
@@ -154,7 +177,14 @@
         self.suspects.is_empty()
     }
 
-    fn insert(&mut self, fingerprint: Fingerprint, crash: &str, seen: Timestamp, cleared: bool) {
+    fn insert(
+        &mut self,
+        fingerprint: Fingerprint,
+        crash: &str,
+        seen: Timestamp,
+        cleared: bool,
+        progressed: bool,
+    ) {
         self.make_room(fingerprint);
         let sightings = self.suspects.entry(fingerprint).or_default();
         if sightings.len() >= MAX_CRASHES && !sightings.contains_key(crash) {
@@ -165,8 +195,13 @@
             .or_insert(Sighting {
                 seen,
                 cleared: false,
+                progressed,
                 rounds_left: GOSSIP_ROUNDS,
             });
+        if sighting.progressed && !progressed {
+            sighting.progressed = false;
+            sighting.rounds_left = GOSSIP_ROUNDS;
+        }
         if cleared && !sighting.cleared {
             sighting.cleared = true;
             sighting.rounds_left = GOSSIP_ROUNDS;
--- a/wisteriaford_core/src/steward.rs
+++ b/wisteriaford_core/src/steward.rs
@@ -68,8 +68,10 @@
         endpoint: EndpointId,
         /// Unique name of the crash.
         crash: CompactString,
-        /// Requests in progress.
+        /// Requests in progress that had made no token there, as far as is known.
         suspects: Vec<Fingerprint>,
+        /// Requests in progress that had made tokens there.
+        progressed: Vec<Fingerprint>,
     },
     /// An endpoint reached another version.
     Reached(EndpointId, Version),
@@ -90,7 +92,8 @@
     address: CompactString,
     queue: SlotQueue,
     fingerprints: IndexMap<AttemptId, Known>,
-    failed: Vec<Fingerprint>,
+    /// Requests that failed, and whether they had made tokens.
+    failed: Vec<(Fingerprint, bool)>,
     next_poll_at: Timestamp,
     silent_polls: u32,
     is_leaving: bool,
@@ -226,7 +229,7 @@
         if let Some(known) = fingerprint
             && stewarded.failed.len() < MAX_FAILED
         {
-            stewarded.failed.push(known.fingerprint);
+            stewarded.failed.push((known.fingerprint, tokens > 0));
         }
     }
 
@@ -276,6 +279,7 @@
                 endpoint: endpoint.clone(),
                 crash: CompactString::from(format!("{endpoint}@{}", crash.incarnation)),
                 suspects: crash.suspects,
+                progressed: crash.progressed,
             });
         }
         if stewarded.version() != version {
@@ -336,6 +340,7 @@
 struct Crash {
     incarnation: Incarnation,
     suspects: Vec<Fingerprint>,
+    progressed: Vec<Fingerprint>,
 }
 
 impl Stewarded {
@@ -434,15 +439,28 @@
     }
 
     fn crash(&mut self, incarnation: Incarnation) -> Option<Crash> {
-        let mut suspects: Vec<Fingerprint> = self.failed.drain(..).collect();
+        let mut suspects = Vec::new();
+        let mut progressed = Vec::new();
+        for (fingerprint, has_progressed) in self.failed.drain(..) {
+            if has_progressed {
+                progressed.push(fingerprint);
+            } else {
+                suspects.push(fingerprint);
+            }
+        }
         let granted = self.fingerprints.values().filter(|known| known.is_granted);
         suspects.extend(granted.map(|known| known.fingerprint));
         self.fingerprints.retain(|_, known| !known.is_granted);
         suspects.sort_unstable();
         suspects.dedup();
-        (!suspects.is_empty()).then_some(Crash {
+        progressed.retain(|fingerprint| suspects.binary_search(fingerprint).is_err());
+        progressed.sort_unstable();
+        progressed.dedup();
+        let is_crash = !suspects.is_empty() || !progressed.is_empty();
+        is_crash.then_some(Crash {
             incarnation,
             suspects,
+            progressed,
         })
     }
 
--- a/wisteriaford_core/tests/exchange.rs
+++ b/wisteriaford_core/tests/exchange.rs
@@ -188,6 +188,7 @@
         crash: "engine-3/1".to_owned(),
         age_ms: 0,
         cleared: false,
+        progressed: false,
     };
     let cleared = Suspect {
         fingerprint: 8,
--- a/wisteriaford_core/tests/quarantine.rs
+++ b/wisteriaford_core/tests/quarantine.rs
@@ -91,3 +91,42 @@
     assert_eq!(aged, 0);
     assert!(quarantine.is_empty());
 }
+
+#[test]
+fn request_with_progress_is_refused_at_its_third_crash_and_alone_from_its_second() {
+    // Arrange
+    let (mut a, mut b) = (quarantine(), quarantine());
+    let mut verdicts = Vec::new();
+
+    // Act
+    for crash in ["engine-1/7", "engine-2/3", "engine-3/4"] {
+        a.note_crash_after_progress(NOW, crash, &[GUILTY]);
+        a.note_crash_after_progress(NOW, crash, &[GUILTY]);
+        gossip(&mut a, &mut b, NOW);
+        verdicts.push(b.verdict(NOW, GUILTY, HOLD));
+    }
+
+    // Assert
+    let until = NOW + HOLD;
+    let expected = [Verdict::Free, Verdict::Alone, Verdict::Refused { until }];
+    assert_eq!(verdicts, expected);
+}
+
+#[test]
+fn crash_counts_in_full_once_one_run_had_made_no_token() {
+    // Arrange
+    let (mut a, mut b) = (quarantine(), quarantine());
+    a.note_crash_after_progress(NOW, "engine-1/7", &[GUILTY]);
+    gossip(&mut a, &mut b, NOW);
+
+    // Act
+    a.note_crash(NOW, "engine-1/7", &[GUILTY]);
+    gossip(&mut a, &mut b, NOW);
+    let once = b.verdict(NOW, GUILTY, HOLD);
+    b.note_crash(NOW, "engine-2/3", &[GUILTY]);
+
+    // Assert
+    assert_eq!(once, Verdict::Alone);
+    let until = NOW + HOLD;
+    assert_eq!(b.verdict(NOW, GUILTY, HOLD), Verdict::Refused { until });
+}
