Let requests that must run alone drain one endpoint, and the same one

Cause: a request that must run alone asked two endpoints, which both stopped batch work until they were empty, and each such request chose its own pair. Such requests now ask one endpoint, the same one for all while its load allows it.

--- a/wisteriaford_core/src/instance/requests/asking.rs
+++ b/wisteriaford_core/src/instance/requests/asking.rs
@@ -28,6 +28,8 @@
 
 /// Stewards that a request waits for at once.
 pub(super) const ASKS_PER_REQUEST: usize = 2;
+/// Hash in place of the prompt's that all requests share which must run alone.
+const ALONE_PREFIX_HASH: u64 = 0;
 /// Time after which a refused caller may find that endpoints are back.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Pause before a request that waits for any endpoint looks again.
@@ -54,7 +56,8 @@
                 return;
             }
         };
-        let choices = match self.choose(active) {
+        let alone = alone || active.alone;
+        let choices = match self.choose(active, alone) {
             Ok(choices) => choices,
             Err(reason) => {
                 self.no_endpoint(now, request, reason);
@@ -78,23 +81,32 @@
         }
     }
 
+    /// Chooses endpoints to ask: a single one where others must drain first, and the same for
+    /// all that must run alone while its load allows it, so that few endpoints drain.
     pub(in crate::instance) fn choose(
         &self,
         active: &Active,
+        alone: bool,
     ) -> Result<Vec<Choice>, RefusalReason> {
         let Some(pool) = self.settings.pools.get(&active.request.pool) else {
             return Err(RefusalReason::UnknownPool);
         };
+        let own_prefix = active.request.work.prefix_hash();
+        let (prefix_hash, count) = if alone {
+            (Some(ALONE_PREFIX_HASH), 1)
+        } else {
+            (own_prefix, ASKS_PER_REQUEST)
+        };
         let endpoints = pool.endpoints.iter();
         let query = RouteQuery {
             candidates: endpoints
                 .filter_map(|id| self.settings.endpoints.get(id))
                 .collect(),
-            prefix_hash: active.request.work.prefix_hash(),
+            prefix_hash,
             oldest_version: active.oldest_version,
             exclude: &active.avoid,
         };
-        self.router.choose(&query, ASKS_PER_REQUEST)
+        self.router.choose(&query, count)
     }
 
     pub(in crate::instance) fn new_ask(
