--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -146,14 +146,18 @@
                 endpoint,
                 crash,
                 suspects,
+                progressed,
             } => {
                 self.counters.add(Counter::EndpointCrashes, 1);
                 self.quarantine.note_crash(now, &crash, &suspects);
+                self.quarantine
+                    .note_crash_after_progress(now, &crash, &progressed);
                 self.note(Note::EndpointCrashed {
                     endpoint: endpoint.clone(),
-                    suspects: suspects.len(),
+                    suspects: suspects.len() + progressed.len(),
                 });
                 self.note_quarantined(now, &endpoint, &suspects);
+                self.note_quarantined(now, &endpoint, &progressed);
             }
             StewardOutput::Reached(endpoint, version) => {
                 self.note(Note::SwapDone { endpoint, version });
