Keep one request from crashing an engine after the other

Two causes, seen with a request that crashes each engine that runs it, engines restarted as by a supervisor:

A steward went on granting slots of an engine between the failure of an attempt and the answer to the poll that the failure brings about. Who was granted a slot then never reached the engine, but was counted as a suspect of the crash; a harmless request that had been in progress at one crash was so refused as quarantined. Asks now wait until a poll is answered.

The entry's own retries were faster than the word of the crashes: one call of one caller crashed all four engines before the entry heard of the second crash. A request whose second attempt broke as well now waits 3 s before it is looked at again. Counting broken connections as crashes at the entry would need no wait, but a network that cuts connections would then have innocent requests refused for ten minutes.

At the two-year size gossip may need longer than the pause; a word sent straight from the steward to the entry would not.

--- a/wisteriaford_core/src/instance/requests/running.rs
+++ b/wisteriaford_core/src/instance/requests/running.rs
@@ -34,6 +34,8 @@
 
 /// Time that a connection outlives the silence after which its attempt is given up.
 const SILENCE_RESERVE: Duration = Duration::from_secs(1);
+/// Time in which a steward's word of a crash reaches the other instances.
+const VERDICT_PAUSE: Duration = Duration::from_secs(3);
 
 impl Instance {
     pub(in crate::instance) fn dispatch(
@@ -315,6 +317,7 @@
         if proves_not_run {
             active.may_have_run = running.ran_before;
         }
+        let is_second_break = failure == AttemptFailure::Broken && active.alone;
         if failure == AttemptFailure::Broken {
             // It may have crashed the endpoint, so that others must not run beside it.
             active.alone = true;
@@ -341,6 +344,18 @@
             });
         }
         self.retry(now, &active, failure);
+        if is_second_break {
+            self.wait_for_verdict(now, request);
+        }
+    }
+
+    /// Holds a suspect back until the stewards have said whether it crashed their endpoints, so
+    /// that its own retries don't crash one endpoint after the other.
+    fn wait_for_verdict(&mut self, now: Timestamp, request: &RequestId) {
+        let active = self.requests.get_mut(request);
+        if let Some(Phase::BackingOff(at)) = active.map(|active| &mut active.phase) {
+            *at = (*at).max(now + VERDICT_PAUSE);
+        }
     }
 
     pub(in crate::instance) fn retry(
--- a/wisteriaford_core/src/steward.rs
+++ b/wisteriaford_core/src/steward.rs
@@ -91,6 +91,7 @@
     queue: SlotQueue,
     fingerprints: IndexMap<AttemptId, Known>,
     failed: Vec<Fingerprint>,
+    is_in_doubt: bool,
     next_poll_at: Timestamp,
     silent_polls: u32,
     is_leaving: bool,
@@ -223,6 +224,7 @@
         }
         // The endpoint may be gone: look at once, and remember whom to suspect.
         stewarded.next_poll_at = now;
+        stewarded.is_in_doubt = true;
         if let Some(known) = fingerprint
             && stewarded.failed.len() < MAX_FAILED
         {
@@ -345,6 +347,7 @@
             queue,
             fingerprints: IndexMap::new(),
             failed: Vec::new(),
+            is_in_doubt: false,
             next_poll_at: now,
             silent_polls: 0,
             is_leaving: false,
@@ -404,6 +407,7 @@
     fn reported(&mut self, now: Timestamp, report: EndpointReport) -> Option<Crash> {
         self.next_poll_at = now + POLL_INTERVAL;
         self.silent_polls = 0;
+        self.is_in_doubt = false;
         let before = self.report.replace(report);
         let restarted = before.filter(|before| before.incarnation != report.incarnation);
         if restarted.is_some() {
@@ -456,8 +460,8 @@
         } else {
             (Availability::Serving, "answers polls")
         };
-        let version = self.version();
-        self.queue.set_endpoint(version, now);
+        self.queue
+            .set_endpoint(self.version(), self.availability_to_queue(now));
         if now == self.availability {
             return None;
         }
@@ -466,6 +470,15 @@
         self.cause = cause;
         Some((before, now))
     }
+
+    /// Lets asks wait after a failed attempt until a poll is answered: who is granted a slot of an
+    /// endpoint that has crashed would be taken for a suspect of that crash.
+    fn availability_to_queue(&self, availability: Availability) -> Availability {
+        if self.is_in_doubt && availability == Availability::Serving {
+            return Availability::Swapping;
+        }
+        availability
+    }
 }
 
 fn queue_settings(settings: &Settings, endpoint: &EndpointId) -> Option<QueueSettings> {
