--- a/wisteriaford_bench/src/processes.rs
+++ b/wisteriaford_bench/src/processes.rs
@@ -7,6 +7,7 @@
 pub mod port;
 pub mod process;
 pub mod standin;
+pub mod tool;
 pub mod wait;
 
 pub use daemon::Daemon;
@@ -15,8 +16,9 @@
 pub use error::Result;
 pub use fleet::Fleet;
 pub use fleet::FleetPlan;
-pub use fleet::ToolOutput;
 pub use process::Process;
 pub use process::Signal;
 pub use standin::StandinProcess;
+pub use tool::Tool;
+pub use tool::ToolOutput;
 pub use wait::wait_until;
--- a/wisteriaford_bench/src/processes/fleet.rs
+++ b/wisteriaford_bench/src/processes/fleet.rs
@@ -5,12 +5,13 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process;
-use std::process::Command;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use serde_json::Value;
 use serde_json::json;
 use wisteriaford_client::client::Client;
 use wisteriaford_proto::settings::Caller;
@@ -28,8 +29,9 @@
 use crate::processes::error::ProcessError;
 use crate::processes::error::Result;
 use crate::processes::http::EXCHANGE_TIMEOUT;
-use crate::processes::process::program_path;
 use crate::processes::standin::StandinProcess;
+use crate::processes::tool::Tool;
+use crate::processes::tool::ToolOutput;
 use crate::processes::wait::wait_until;
 
 /// Pool of model engines.
@@ -51,7 +53,6 @@
 
 const REGION: &str = "tunis-nord";
 const ZONES: [&str; 2] = ["ariana", "la-marsa"];
-const TOOL: &str = "wisteriaford";
 /// Availability of an endpoint that takes requests.
 const AVAILABLE: &str = "serving";
 const ENGINE_SLOTS: u32 = 16;
@@ -62,7 +63,8 @@
 /// Longest time until something of the fleet comes about; only ends what would hang.
 pub const LONGEST_WAIT: Duration = Duration::from_secs(120);
 
-static FLEETS: AtomicU32 = AtomicU32::new(0);
+static FILES: AtomicU32 = AtomicU32::new(0);
+static TURN: Mutex<()> = Mutex::new(());
 
 /// How many of each there are.
 #[derive(Clone, Debug)]
@@ -94,17 +96,6 @@
     }
 }
 
-/// What the tool wrote, and how it ended.
-#[derive(Clone, Debug)]
-pub struct ToolOutput {
-    /// Exit code; none after a signal.
-    pub exit_code: Option<i32>,
-    /// JSON of the standard output; null where it was none.
-    pub json: Value,
-    /// Both outputs as text.
-    pub text: String,
-}
-
 /// Processes of a whole fleet; all end when it is dropped.
 pub struct Fleet {
     /// Log.
@@ -122,15 +113,19 @@
     /// Daemons.
     pub daemons: Vec<Daemon>,
     folder: PathBuf,
+    /// Lets the next fleet of this process start once this one has ended.
+    _turn: MutexGuard<'static, ()>,
 }
 
 impl Fleet {
-    /// Starts all processes; no configuration is published yet.
+    /// Starts all processes once no other fleet of this process runs; no configuration is
+    /// published yet.
     ///
     /// # Errors
     ///
     /// Fails if one of them does not start.
     pub fn start(plan: &FleetPlan) -> Result<Self> {
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let log = StandinProcess::start("log", "log", &[])?;
         let weight_store =
             StandinProcess::start("weight-store", "weight-store", &["--model", MODEL])?;
@@ -147,6 +142,7 @@
             plain_services,
             daemons: Vec::new(),
             folder: new_folder()?,
+            _turn: turn,
         };
         fleet.start_daemons(plan)?;
         Ok(fleet)
@@ -162,7 +158,7 @@
         let output = fleet.publish(&fleet.configuration(), &[])?;
         if output.exit_code != Some(0) {
             return Err(ProcessError::NotStarted {
-                name: TOOL.to_owned(),
+                name: "wisteriaford publish".to_owned(),
                 output: output.text,
             });
         }
@@ -205,47 +201,34 @@
     ///
     /// Fails if the tool cannot be run; not if it refuses.
     pub fn publish(&self, configuration: &Configuration, arguments: &[&str]) -> Result<ToolOutput> {
-        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let path = self.write_configuration(configuration)?;
+        let path = path.to_string_lossy();
+        let mut all = vec!["publish", &path];
+        all.extend_from_slice(arguments);
+        self.tool().run(&all)
+    }
+
+    /// Writes a configuration into a new file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be written.
+    pub fn write_configuration(&self, configuration: &Configuration) -> Result<PathBuf> {
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
         let path = self.folder.join(format!("configuration-{number}.toml"));
         let text = toml::to_string(configuration)?;
         fs::write(&path, text).map_err(|source| ProcessError::File {
             path: path.clone(),
             source,
         })?;
-        let path_text = path.to_string_lossy();
-        let mut all = vec!["publish", &path_text];
-        all.extend_from_slice(arguments);
-        self.tool(&all)
+        Ok(path)
     }
 
-    /// Runs the tool with addresses of the log and the daemons, and JSON as its output.
-    ///
-    /// # Errors
-    ///
-    /// Fails if it cannot be run.
-    pub fn tool(&self, arguments: &[&str]) -> Result<ToolOutput> {
-        let daemons: Vec<String> = self
-            .daemons
-            .iter()
-            .map(|d| d.address().to_string())
-            .collect();
-        let output = Command::new(program_path(TOOL)?)
-            .args(arguments)
-            .args(["--output", "json"])
-            .args(["--log-address", &self.log.address().to_string()])
-            .args(["--daemon", &daemons.join(",")])
-            .output()
-            .map_err(|source| ProcessError::System {
-                name: TOOL.to_owned(),
-                source,
-            })?;
-        let stdout = String::from_utf8_lossy(&output.stdout);
-        let stderr = String::from_utf8_lossy(&output.stderr);
-        Ok(ToolOutput {
-            exit_code: output.status.code(),
-            json: serde_json::from_str(stdout.trim()).unwrap_or_default(),
-            text: format!("{stdout}{stderr}"),
-        })
+    /// Returns the tool with the addresses of the log and the daemons.
+    #[must_use]
+    pub fn tool(&self) -> Tool {
+        let daemons = self.daemons.iter().map(Daemon::address);
+        Tool::new(self.log.address(), daemons.collect())
     }
 
     /// Returns a client of all daemons that prefers the one at a place, counted round.
@@ -341,7 +324,7 @@
 }
 
 fn new_folder() -> Result<PathBuf> {
-    let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
     let name = format!("wisteriaford-{}-{number}", process::id());
     let path = env::temp_dir().join(name);
     fs::create_dir_all(&path).map_err(|source| ProcessError::File {
--- /dev/null
+++ b/wisteriaford_bench/tests/at_most_once.rs
@@ -0,0 +1,107 @@
+//! Calls that must run at most once, sent to two instances at the same time.
+
+use std::thread;
+
+use rstest::rstest;
+use wisteriaford_bench::processes::Fleet;
+use wisteriaford_bench::processes::FleetPlan;
+use wisteriaford_bench::processes::fleet::INTERACTIVE_CALLER;
+use wisteriaford_bench::processes::fleet::SCAN_ROUTE;
+use wisteriaford_client::client::Client;
+use wisteriaford_client::client::ClientError;
+use wisteriaford_client::client::RouteAnswer;
+use wisteriaford_client::client::RouteCall;
+use wisteriaford_client::message::Outcome;
+use wisteriaford_standins::FaultChange;
+
+const KEYS: u64 = 40;
+const KEYS_AT_ONCE: u64 = 8;
+const LOST_ANSWERS: u64 = 10;
+
+type CallResult = Result<RouteAnswer, ClientError>;
+
+fn scan(key: &str) -> RouteCall {
+    RouteCall {
+        route: SCAN_ROUTE.to_owned(),
+        caller: INTERACTIVE_CALLER.to_owned(),
+        content_type: "text/plain".to_owned(),
+        body: key.as_bytes().to_vec(),
+        idempotency_key: Some(key.to_owned()),
+        ..RouteCall::default()
+    }
+}
+
+/// Sends one key to two instances at the same time.
+fn send_twice(clients: &[Client; 2], key: &str) -> [CallResult; 2] {
+    thread::scope(|scope| {
+        let calls = clients
+            .each_ref()
+            .map(|client| scope.spawn(|| client.call(&scan(key))));
+        calls.map(|call| call.join().unwrap())
+    })
+}
+
+/// Sends each key twice, some keys at once.
+fn send_all(fleet: &Fleet) -> Vec<(String, [CallResult; 2])> {
+    let mut results = Vec::new();
+    for first in (0..KEYS).step_by(usize::try_from(KEYS_AT_ONCE).unwrap()) {
+        let batch: Vec<_> = (first..first + KEYS_AT_ONCE)
+            .map(|number| {
+                let place = usize::try_from(number).unwrap() % fleet.daemons.len();
+                let other = (place + 1) % fleet.daemons.len();
+                let clients = [fleet.daemons[place].client(), fleet.daemons[other].client()];
+                let key = format!("key-{number}");
+                thread::spawn(move || {
+                    let results = send_twice(&clients, &key);
+                    (key, results)
+                })
+            })
+            .collect();
+        results.extend(batch.into_iter().map(|sent| sent.join().unwrap()));
+    }
+    results
+}
+
+fn runs_of(fleet: &Fleet, key: &str) -> u64 {
+    let services = fleet.plain_services.iter();
+    let runs = services.map(|s| s.get("/runs").unwrap()["by_key"][key].as_u64().unwrap_or(0));
+    runs.sum()
+}
+
+#[rstest]
+#[case::answers_arrive(0)]
+#[case::answers_are_lost(LOST_ANSWERS)]
+fn key_sent_to_two_instances_at_once_runs_at_most_once(#[case] lost_answers: u64) {
+    let fleet = Fleet::start_ready(&FleetPlan::default()).unwrap();
+    for service in &fleet.plain_services {
+        let change = FaultChange {
+            lose_answers: Some(lost_answers),
+            ..FaultChange::default()
+        };
+        service.set_faults(&change).unwrap();
+    }
+
+    let results = send_all(&fleet);
+
+    let mut answered = 0;
+    let mut ran = 0;
+    for (key, results) in &results {
+        let runs = runs_of(&fleet, key);
+        let answers = results.iter().filter(|result| result.is_ok()).count();
+        let not_run = |result: &CallResult| {
+            let error = result.as_ref().err();
+            error.is_some_and(|error| error.outcome() == Outcome::NotRun)
+        };
+        assert!(runs <= 1, "{key} ran {runs} times: {results:?}");
+        assert!(answers <= 1, "{key} was answered twice: {results:?}");
+        assert!(answers == 0 || runs == 1, "{key}: {results:?}");
+        assert!(
+            runs == 0 || !results.iter().all(not_run),
+            "{key}: {results:?}"
+        );
+        answered += u64::try_from(answers).unwrap();
+        ran += runs;
+    }
+    assert_eq!(ran, KEYS);
+    assert_eq!(answered, KEYS - 2 * lost_answers);
+}
--- /dev/null
+++ b/wisteriaford_bench/tests/step_recovery.rs
@@ -0,0 +1,97 @@
+//! Training steps through the death of the instance that owns them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rstest::rstest;
+use wisteriaford_bench::processes::Fleet;
+use wisteriaford_bench::processes::FleetPlan;
+use wisteriaford_bench::processes::Signal;
+use wisteriaford_bench::processes::fleet::LONGEST_WAIT;
+use wisteriaford_bench::processes::fleet::TRAINER;
+use wisteriaford_bench::processes::wait_until;
+use wisteriaford_bench::quickstart::training::StepSize;
+use wisteriaford_bench::quickstart::training::is_right;
+use wisteriaford_bench::quickstart::training::plan;
+use wisteriaford_client::client::Client;
+use wisteriaford_client::step::StepRun;
+use wisteriaford_client::trainer::SystemTimer;
+use wisteriaford_client::trainer::Trainer;
+use wisteriaford_core::id::StepKey;
+use wisteriaford_core::id::StepNumber;
+use wisteriaford_core::placement::Candidate;
+use wisteriaford_core::placement::Placement;
+use wisteriaford_core::placement::Rendezvous;
+
+const VERSION: u64 = 1;
+const SIZE: StepSize = StepSize {
+    groups: 16,
+    group_size: 4,
+    max_tokens: 256,
+};
+const STEP_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Returns the place of the daemon that owns a step.
+fn owner_of(fleet: &Fleet, number: u64) -> usize {
+    let status = fleet.daemons[0].status().unwrap();
+    let candidates = status.members.iter().map(|member| Candidate {
+        id: member.id.as_str().into(),
+        address: member.address.as_str().into(),
+        availability_zone: member.availability_zone.as_str().into(),
+        region: status.region.as_str().into(),
+    });
+    let placement = Rendezvous::new(candidates.collect());
+    let key = StepKey {
+        trainer: TRAINER.into(),
+        number: StepNumber(number),
+    };
+    let owner = placement.owner(&key).unwrap().id.clone();
+    let place = fleet.daemons.iter().position(|d| d.id() == owner.as_str());
+    place.unwrap()
+}
+
+/// Pulls once from one daemon and takes what comes.
+fn pull(client: &Client, run: &mut StepRun) {
+    let request = run.pull(VERSION);
+    if let Ok(answer) = client.pull(run.plan().step, &request) {
+        run.take(answer).unwrap();
+    }
+}
+
+#[rstest]
+#[case::entry_lives_on(1)]
+#[case::entry_dies_too(0)]
+fn step_completes_after_its_owner_is_killed(#[case] entry_distance: usize) {
+    let mut fleet = Fleet::start_ready(&FleetPlan::default()).unwrap();
+    let number = 1;
+    let owner = owner_of(&fleet, number);
+    let client = fleet.client(owner + entry_distance);
+    let mut run = StepRun::new(plan(number, SIZE), 1).unwrap();
+    wait_until("a part of the step", LONGEST_WAIT, || {
+        pull(&client, &mut run);
+        !run.received().is_empty()
+    })
+    .unwrap();
+    let received_before = run.received().len();
+
+    fleet.daemons[owner].signal(Signal::Kill).unwrap();
+    let mut trainer = Trainer {
+        service: &mut client.clone(),
+        timer: &mut SystemTimer::default(),
+        deadline: STEP_TIMEOUT,
+    };
+    let result = trainer.run(&mut run, &mut |_| VERSION);
+    fleet.daemons[owner].process().wait(LONGEST_WAIT).unwrap();
+
+    result.unwrap();
+    assert!((received_before as u64) < run.counts().asked);
+    assert!(run.counts().is_clean(), "{:?}", run.counts());
+    let indices: BTreeSet<u32> = run.samples().iter().map(|sample| sample.index).collect();
+    assert_eq!(indices.len(), run.samples().len());
+    let wrong: Vec<_> = run
+        .samples()
+        .iter()
+        .filter(|s| !is_right(run.plan(), s))
+        .collect();
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
