--- a/wisteriaford_core/src/steward.rs
+++ b/wisteriaford_core/src/steward.rs
@@ -116,6 +116,8 @@
     fingerprints: IndexMap<AttemptId, Known>,
     /// Requests that failed, and whether they had made tokens.
     failed: Vec<(Fingerprint, bool)>,
+    /// Whether an attempt failed that no answered poll explains yet.
+    is_in_doubt: bool,
     next_poll_at: Timestamp,
     silent_polls: u32,
     leaving: LeavingBy,
@@ -257,6 +259,7 @@
         }
         // The endpoint may be gone: look at once, and remember whom to suspect.
         stewarded.next_poll_at = now;
+        stewarded.is_in_doubt = true;
         if let Some(known) = fingerprint
             && stewarded.failed.len() < MAX_FAILED
         {
@@ -381,6 +384,7 @@
             queue,
             fingerprints: IndexMap::new(),
             failed: Vec::new(),
+            is_in_doubt: false,
             next_poll_at: now,
             silent_polls: 0,
             leaving: LeavingBy::default(),
@@ -434,6 +438,7 @@
         self.next_poll_at = now + POLL_INTERVAL;
         self.silent_polls = 0;
         self.is_distrusted = false;
+        self.is_in_doubt = false;
         let before = self.report.replace(report);
         let restarted = before.filter(|before| before.incarnation != report.incarnation);
         if restarted.is_some() {
@@ -498,8 +503,8 @@
         } else {
             (Availability::Serving, "answers polls")
         };
-        let version = self.version();
-        self.queue.set_endpoint(version, now);
+        self.queue
+            .set_endpoint(self.version(), self.availability_to_queue(now));
         if now == self.availability {
             return None;
         }
@@ -508,6 +513,15 @@
         self.cause = cause;
         Some((before, now))
     }
+
+    /// Lets asks wait after a failed attempt until a poll is answered: who is granted a slot of an
+    /// endpoint that has crashed would be taken for a suspect of that crash.
+    fn availability_to_queue(&self, availability: Availability) -> Availability {
+        if self.is_in_doubt && availability == Availability::Serving {
+            return Availability::Swapping;
+        }
+        availability
+    }
 }
 
 fn queue_settings(settings: &Settings, endpoint: &EndpointId) -> Option<QueueSettings> {
