Answer a body that was cut off with a typed error

Cause: the server reads what is left of a body before it sends the handler's answer; where the body was cut off, that fails again, and the server sent its own 500 as plain text. The handler now leaves nothing to read and has the connection closed, so that truncated_body arrives.

The test of bad input failed on it (500 where 400 was expected) and passes now; it also sends malformed JSON, wrong types, oversized bodies, unknown names, negative and absurd numbers, garbage, and a damaged log record.

--- /dev/null
+++ b/wisteriaford_bench/tests/bad_input.rs
@@ -0,0 +1,118 @@
+//! Bad input to a daemon: a typed error each, and the process goes on.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpStream;
+
+use rstest::rstest;
+use serde_json::Value;
+use wisteriaford_bench::processes::Daemon;
+use wisteriaford_bench::processes::Fleet;
+use wisteriaford_bench::processes::FleetPlan;
+use wisteriaford_bench::processes::fleet::LONGEST_WAIT;
+use wisteriaford_bench::processes::http;
+use wisteriaford_bench::processes::wait_until;
+use wisteriaford_bench::quickstart::interactive;
+use wisteriaford_client::transport::Exchange;
+
+const JSON: &str = "application/json";
+const GOOD: &str = r#"{"caller":"portal","pool":"restoration","prompt":"x","max_tokens":1}"#;
+const UNKNOWN_CALLER: &str =
+    r#"{"caller":"nobody","pool":"restoration","prompt":"x","max_tokens":1}"#;
+const UNKNOWN_POOL: &str = r#"{"caller":"portal","pool":"nowhere","prompt":"x","max_tokens":1}"#;
+const NEGATIVE: &str = r#"{"caller":"portal","pool":"restoration","prompt":"x","max_tokens":-1}"#;
+const ZERO: &str = r#"{"caller":"portal","pool":"restoration","prompt":"x","max_tokens":0}"#;
+const ABSURD: &str =
+    r#"{"caller":"portal","pool":"restoration","prompt":"x","max_tokens":4000000000}"#;
+const GENERATE: &str = "/v1/generate";
+
+fn fleet() -> Fleet {
+    let plan = FleetPlan {
+        daemon_arguments: vec!["--max-body-bytes".to_owned(), "4096".to_owned()],
+        ..FleetPlan::default()
+    };
+    Fleet::start_ready(&plan).unwrap()
+}
+
+fn still_serves(daemon: &Daemon) -> Result<(), String> {
+    interactive::generate(&daemon.client(), "still-1", "Still there:", 16)
+}
+
+#[test]
+fn bad_requests_get_typed_errors_and_the_daemon_goes_on() {
+    let long = format!("{{\"prompt\":\"{}\"}}", "x".repeat(8_192));
+    let cases = [
+        (GENERATE, JSON, "{\"caller\":", 400, "malformed_json"),
+        (GENERATE, JSON, NEGATIVE, 400, "malformed_json"),
+        (GENERATE, JSON, ZERO, 400, "bad_request"),
+        (GENERATE, JSON, ABSURD, 400, "bad_request"),
+        (GENERATE, "text/plain", GOOD, 415, "wrong_content_type"),
+        (GENERATE, JSON, &long, 413, "too_large"),
+        (GENERATE, JSON, UNKNOWN_CALLER, 403, "unknown_caller"),
+        (GENERATE, JSON, UNKNOWN_POOL, 404, "unknown_pool"),
+        ("/v1/steps/-1/pulls", JSON, "{}", 400, "bad_request"),
+        ("/v1/steps/1/pulls", JSON, "{}", 400, "malformed_json"),
+        (
+            "/v1/call/badge-lookup",
+            "text/plain",
+            "x",
+            400,
+            "bad_request",
+        ),
+        ("/v1/nothing", JSON, "{}", 404, "not_found"),
+    ];
+    let fleet = fleet();
+    let daemon = &fleet.daemons[0];
+
+    for (path, content_type, body, status, code) in cases {
+        let exchange = Exchange::post(path.to_owned(), content_type, body.as_bytes().to_vec());
+        let reply = http::send(daemon.address(), &exchange).unwrap();
+
+        let error: Value = serde_json::from_slice(&reply.body).unwrap();
+        let told = (reply.status, error["error"]["code"].as_str());
+        assert_eq!(told, (status, Some(code)), "{path} {body:.80}");
+    }
+
+    still_serves(daemon).unwrap();
+}
+
+#[rstest]
+#[case::body_cut(b"POST /v1/generate HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: 100\r\n\r\n{\"caller\"")]
+#[case::no_http(b"\x00\x01\x02 garbage \xff\r\n\r\n")]
+fn damaged_connections_leave_the_daemon_serving(#[case] bytes: &[u8]) {
+    let fleet = fleet();
+    let daemon = &fleet.daemons[0];
+
+    let mut stream = TcpStream::connect(daemon.address()).unwrap();
+    stream.write_all(bytes).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut answer = Vec::new();
+    let _cut = stream.read_to_end(&mut answer);
+
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    still_serves(daemon).unwrap();
+}
+
+#[test]
+fn damaged_record_leaves_the_configuration_in_force() {
+    let fleet = fleet();
+    let path = "/streams/wisteriaford-configuration/records".to_owned();
+    let exchange = Exchange::post(path, "application/octet-stream", vec![0xff; 64]);
+
+    let reply = http::send(fleet.log.address(), &exchange).unwrap();
+    let noted = |daemon: &Daemon| {
+        let lines = daemon.lines();
+        lines.iter().any(|line| line.contains("record_damaged"))
+    };
+    wait_until("the note of the damaged record", LONGEST_WAIT, || {
+        fleet.daemons.iter().all(noted)
+    })
+    .unwrap();
+    let published = fleet.publish(&fleet.configuration(), &[]).unwrap();
+
+    assert_eq!(reply.status, 200);
+    assert_eq!(published.exit_code, Some(0), "{}", published.text);
+    fleet.wait_until_ready(2).unwrap();
+}
--- a/wisteriafordd/src/server.rs
+++ b/wisteriafordd/src/server.rs
@@ -12,10 +12,12 @@
 use crossbeam::channel::Sender;
 use oxhttp::Server;
 use oxhttp::model::Body;
+use oxhttp::model::HeaderValue;
 use oxhttp::model::Method;
 use oxhttp::model::Request;
 use oxhttp::model::Response;
 use oxhttp::model::StatusCode;
+use oxhttp::model::header::CONNECTION;
 use wisteriaford_core::event::CallerRequest;
 use wisteriaford_core::event::Identity;
 use wisteriaford_core::refusal::Refusal;
@@ -164,9 +166,10 @@
             return Err(Failure::TooLarge { limit_bytes });
         }
         let mut bytes = Vec::new();
-        body.take(limit_bytes + 1)
-            .read_to_end(&mut bytes)
-            .map_err(|_| Failure::TruncatedBody)?;
+        if body.take(limit_bytes + 1).read_to_end(&mut bytes).is_err() {
+            give_up_reading(request);
+            return Err(Failure::TruncatedBody);
+        }
         if bytes.len() as u64 > limit_bytes {
             return Err(Failure::TooLarge { limit_bytes });
         }
@@ -174,6 +177,16 @@
     }
 }
 
+/// Leaves nothing to read and closes the connection after the answer.
+///
+/// The server reads what is left of a body before it answers, and where that fails, sends an error
+/// of its own instead.
+fn give_up_reading(request: &mut Request<Body>) {
+    *request.body_mut() = Body::empty();
+    let close = HeaderValue::from_static("close");
+    request.headers_mut().insert(CONNECTION, close);
+}
+
 /// Returns the failure of a request that the core never saw.
 fn not_taken_in() -> Failure {
     Failure::Refused(None, Refusal::not_run(RefusalReason::ShuttingDown))
