Test damaged messages of peers and the counters of bad input

Malformed JSON and a wrong content type have codes of their own towards callers, but no label of their own among the refusals; the test asks for the reasons that have one.

--- a/wisteriaford_bench/tests/bad_input.rs
+++ b/wisteriaford_bench/tests/bad_input.rs
@@ -5,6 +5,8 @@
 use std::net::Shutdown;
 use std::net::TcpStream;
 
+use nng::Protocol;
+use nng::Socket;
 use rstest::rstest;
 use serde_json::Value;
 use wisteriaford_bench::processes::Daemon;
@@ -73,6 +75,13 @@
         let told = (reply.status, error["error"]["code"].as_str());
         assert_eq!(told, (status, Some(code)), "{path} {body:.80}");
     }
+    for reason in ["bad_request", "too_large", "unknown_caller", "unknown_pool"] {
+        wait_until(&format!("count of {reason}"), LONGEST_WAIT, || {
+            let count = daemon.metric("wisteriaford_refusals", Some(reason));
+            count.is_ok_and(|count| count >= 1.0)
+        })
+        .unwrap();
+    }
 
     still_serves(daemon).unwrap();
 }
@@ -116,3 +125,25 @@
     assert_eq!(published.exit_code, Some(0), "{}", published.text);
     fleet.wait_until_ready(2).unwrap();
 }
+
+#[test]
+fn damaged_peer_messages_are_counted_and_left_out() {
+    let fleet = fleet();
+    let daemon = &fleet.daemons[0];
+
+    let mut stream = TcpStream::connect(daemon.peer_address()).unwrap();
+    stream.write_all(b"no message of this protocol").unwrap();
+    drop(stream);
+    let socket = Socket::new(Protocol::Push0).unwrap();
+    socket
+        .dial(&format!("tcp://{}", daemon.peer_address()))
+        .unwrap();
+    socket.send(&[0xff; 32][..]).unwrap();
+    wait_until("count of damaged messages", LONGEST_WAIT, || {
+        let count = daemon.metric("wisteriaford_peer_messages_damaged", None);
+        count.is_ok_and(|count| count >= 1.0)
+    })
+    .unwrap();
+
+    still_serves(daemon).unwrap();
+}
