Send crashes and versions before the states of endpoints

All pieces shared one queue and the repeats came last, so in a large fleet, where states of endpoints fill every message, a version or a crash waited behind hundreds of loads, and an instance that all its sends missed stayed without it. Crashes and versions have their own queue now, sent first, and one of each is repeated with each message before the endpoints.

--- a/wisteriaford_core/src/exchange.rs
+++ b/wisteriaford_core/src/exchange.rs
@@ -122,6 +122,8 @@
     random: Pcg64,
     sequence: u64,
     round_at: Timestamp,
+    /// Crashes and versions of models: few, and sent before the states of endpoints.
+    urgent: Gossip<Key>,
     gossip: Gossip<Key>,
     endpoints: IndexMap<EndpointId, KnownEndpoint>,
     suspects: IndexMap<(u64, CompactString), Sighting>,
@@ -131,6 +133,7 @@
     contents_left: usize,
     asked_at: Option<Timestamp>,
     repeated: usize,
+    repeated_endpoints: usize,
 }
 
 impl Exchange {
@@ -142,6 +145,7 @@
             random: Pcg64::seed_from_u64(seed),
             sequence: incarnation.0 << SEQUENCES_A_RUN_BITS,
             round_at: Timestamp::default(),
+            urgent: Gossip::default(),
             gossip: Gossip::default(),
             endpoints: IndexMap::new(),
             suspects: IndexMap::new(),
@@ -151,6 +155,7 @@
             contents_left: CONTENTS_A_ROUND,
             asked_at: None,
             repeated: 0,
+            repeated_endpoints: 0,
         }
     }
 
@@ -214,7 +219,7 @@
             return false;
         }
         self.models.insert(model.clone(), version);
-        self.gossip.push(Key::Model(model.clone()));
+        self.urgent.push(Key::Model(model.clone()));
         true
     }
 
@@ -386,7 +391,7 @@
                     .insert(key.clone(), Sighting { seen_at, cleared });
             }
         }
-        self.gossip.push(Key::Suspect(key.0, key.1));
+        self.urgent.push(Key::Suspect(key.0, key.1));
         true
     }
 
@@ -413,16 +418,27 @@
             ..FleetMessage::default()
         };
         let mut bytes = message.encoded_len();
-        let keys = self.gossip.take(MAX_ITEMS, members);
-        for key in keys {
+        for key in self.urgent.take(MAX_ITEMS, members) {
             if bytes < MAX_MESSAGE_BYTES {
                 bytes += self.add(now, &key, &mut message);
             } else {
                 // What has no room is not sent yet.
+                self.urgent.push(key);
+            }
+        }
+        for key in self.urgent_repeats() {
+            if bytes < MAX_MESSAGE_BYTES {
+                bytes += self.add(now, &key, &mut message);
+            }
+        }
+        for key in self.gossip.take(MAX_ITEMS, members) {
+            if bytes < MAX_MESSAGE_BYTES {
+                bytes += self.add(now, &key, &mut message);
+            } else {
                 self.gossip.push(key);
             }
         }
-        for key in self.repeats() {
+        for key in self.endpoint_repeats() {
             if bytes < MAX_MESSAGE_BYTES {
                 bytes += self.add(now, &key, &mut message);
             }
@@ -430,20 +446,28 @@
         message
     }
 
-    /// Picks pieces of each kind in turn, for peers that all sends of them happened to miss.
-    fn repeats(&mut self) -> Vec<Key> {
+    /// Picks a crash and a version in turn, for peers that all sends of them happened to miss.
+    ///
+    /// They go before the states of endpoints, which fill all room in a large fleet.
+    fn urgent_repeats(&mut self) -> Vec<Key> {
+        self.repeated += 1;
+        let place = |len: usize| self.repeated % len.max(1);
+        let suspect = self.suspects.get_index(place(self.suspects.len()));
+        let suspect = suspect.map(|(key, _)| Key::Suspect(key.0, key.1.clone()));
+        let model = self.models.get_index(place(self.models.len()));
+        let model = model.map(|(model, _)| Key::Model(model.clone()));
+        suspect.into_iter().chain(model).collect()
+    }
+
+    /// Picks endpoints in turn, for the room that is left.
+    fn endpoint_repeats(&mut self) -> Vec<Key> {
         let mut keys = Vec::new();
         for _ in 0..REPEATS_A_MESSAGE {
-            self.repeated += 1;
-            let place = |len: usize| self.repeated % len.max(1);
-            let endpoint = self.endpoints.get_index(place(self.endpoints.len()));
+            self.repeated_endpoints += 1;
+            let place = self.repeated_endpoints % self.endpoints.len().max(1);
+            let endpoint = self.endpoints.get_index(place);
             keys.extend(endpoint.map(|(endpoint, _)| Key::Endpoint(endpoint.clone())));
         }
-        let place = |len: usize| self.repeated / REPEATS_A_MESSAGE % len.max(1);
-        let suspect = self.suspects.get_index(place(self.suspects.len()));
-        keys.extend(suspect.map(|(key, _)| Key::Suspect(key.0, key.1.clone())));
-        let model = self.models.get_index(place(self.models.len()));
-        keys.extend(model.map(|(model, _)| Key::Model(model.clone())));
         keys
     }
 
