Begin the next load when those before are known to be done

Where the weight store sets the pace an engine waited for the time of its round, from a load time that follows the slowest load seen, waits at the store included. An engine may now also begin once all but as many as may load at once are known to be done before it; a lagging view knows of fewer, so the bounds on loads and on capacity hold as they do where the floor sets the pace. An engine that loads is polled every 250 ms, to hear of it soon.

--- a/wisteriaford_core/src/rollout.rs
+++ b/wisteriaford_core/src/rollout.rs
@@ -255,8 +255,8 @@
 
     fn has_turn(&self, now: Timestamp, engine: &Engine) -> bool {
         let turn = self.turn(engine);
-        if self.paced_by_store {
-            return now >= turn;
+        if self.paced_by_store && now >= turn {
+            return true;
         }
         let unfinished_before = |other: &&Engine| {
             let has = other
@@ -264,6 +264,7 @@
                 .is_some_and(|state| state.version >= self.target);
             other.rank < engine.rank && !has
         };
+        // A lagging view knows of fewer that are done than there are.
         let before = self.engines.values().filter(unfinished_before).count();
         // Engines whose loads keep failing must not hold up the others for good.
         before < self.width || now >= turn + self.load_time * PASS_OVER_LOADS
--- a/wisteriaford_core/src/steward.rs
+++ b/wisteriaford_core/src/steward.rs
@@ -33,6 +33,8 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of polls of an endpoint that answers.
 pub const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of polls of an endpoint that loads weights, so that the next load can begin soon.
+pub const LOADING_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of polls of an endpoint that does not answer.
 pub const POLL_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a poll without an answer is sent again.
@@ -435,7 +437,13 @@
     }
 
     fn reported(&mut self, now: Timestamp, report: EndpointReport) -> Option<Crash> {
-        self.next_poll_at = now + POLL_INTERVAL;
+        let is_loading = report.loading_version > Version(0);
+        self.next_poll_at = now
+            + if is_loading {
+                LOADING_POLL_INTERVAL
+            } else {
+                POLL_INTERVAL
+            };
         self.silent_polls = 0;
         self.is_distrusted = false;
         self.is_in_doubt = false;
