--- /dev/null
+++ b/wisteriaford_bench/src/capacity/cost.rs
@@ -0,0 +1,184 @@
+//! What an instance costs over a window of virtual time.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use wisteriaford_core::counters::Counter;
+use wisteriaford_core::event::LogStream;
+use wisteriaford_core::id::InstanceId;
+use wisteriaford_fakes::Engine;
+use wisteriaford_fakes::Fleet;
+use wisteriaford_fakes::Layout;
+
+use super::load::Load;
+use super::process;
+
+/// Messages and bytes of one kind, per instance and second.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct Traffic {
+    pub(crate) messages_per_s: f64,
+    pub(crate) bytes_per_s: f64,
+}
+
+/// Reads and appends of one stream of the log, over the fleet and a second.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct LogUse {
+    pub(crate) appends_per_s: f64,
+    pub(crate) read: Traffic,
+}
+
+/// Cost of the mean instance, and of the dearest one.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Cost {
+    pub(crate) instances: usize,
+    pub(crate) engines: usize,
+    /// Requests a second of the whole fleet that were answered.
+    pub(crate) requests_per_s: f64,
+    /// Tokens a second of the whole fleet.
+    pub(crate) tokens_per_s: f64,
+    /// Samples a second of the whole fleet.
+    pub(crate) samples_per_s: f64,
+    /// Slots held at the end, over the whole fleet.
+    pub(crate) held_slots: usize,
+    pub(crate) sent: IndexMap<&'static str, Traffic>,
+    pub(crate) received: IndexMap<&'static str, Traffic>,
+    pub(crate) sent_bytes_per_s: f64,
+    pub(crate) received_bytes_per_s: f64,
+    pub(crate) most_sent_bytes_per_s: f64,
+    pub(crate) log: IndexMap<&'static str, LogUse>,
+    /// Part of a core, in percent.
+    pub(crate) core_percent: f64,
+    pub(crate) most_core_percent: f64,
+    /// Memory of the process divided by the instances, fakes included.
+    pub(crate) memory_bytes: u64,
+}
+
+/// Measures a fleet without callers.
+pub(crate) fn idle(layout: &Layout, window: Duration) -> Cost {
+    loaded(layout, &Load::None, window)
+}
+
+/// Measures a fleet under a load.
+pub(crate) fn loaded(layout: &Layout, load: &Load, window: Duration) -> Cost {
+    let before = process::resident_bytes();
+    let (mut fleet, instances) = layout.start();
+    fleet.run_for(Layout::JOIN_TIME);
+    fleet.notes = Vec::new();
+    let warm_up = if matches!(load, Load::None) {
+        Duration::ZERO
+    } else {
+        load.warm_up()
+    };
+    let mut running = load.start();
+    running.run(&mut fleet, &instances, warm_up);
+    fleet.take_answers();
+    let start = Snapshot::take(&mut fleet, &instances);
+    let wall = Instant::now();
+    let answered = running.run(&mut fleet, &instances, window);
+    let processor_part = processor_part(start.processor, wall);
+    let memory = process::resident_bytes().saturating_sub(before);
+    let held_slots = fleet.engines.values().map(Engine::running).sum();
+    let window_s = window.as_secs_f64();
+    let per_instance = window_s * count(instances.len() as u64);
+    let sent = traffic(&fleet.sent, per_instance);
+    let received = traffic(&fleet.received, per_instance);
+    let most = |of: &dyn Fn(&InstanceId) -> f64| instances.iter().map(of).fold(0.0, f64::max);
+    let sent_by = |id: &InstanceId| {
+        let own = fleet.sent.iter().filter(|((from, _), _)| from == id);
+        count(own.map(|(_, sent)| sent.bytes).sum()) / window_s
+    };
+    let core = |id: &InstanceId| {
+        let time = fleet.handle_time.get(id).copied().unwrap_or_default();
+        time.as_secs_f64() / window_s * processor_part * 100.0
+    };
+    Cost {
+        instances: layout.instances,
+        engines: layout.engines,
+        requests_per_s: count(answered.requests) / window_s,
+        tokens_per_s: count(answered.tokens) / window_s,
+        samples_per_s: count(samples(&fleet, &instances) - start.samples) / window_s,
+        held_slots,
+        sent_bytes_per_s: sent.values().map(|kind| kind.bytes_per_s).sum(),
+        received_bytes_per_s: received.values().map(|kind| kind.bytes_per_s).sum(),
+        most_sent_bytes_per_s: most(&sent_by),
+        log: log_use(&fleet, &start, window_s),
+        core_percent: instances.iter().map(core).sum::<f64>() / count(instances.len() as u64),
+        most_core_percent: most(&core),
+        memory_bytes: memory / instances.len() as u64,
+        sent,
+        received,
+    }
+}
+
+/// What was counted before a window.
+struct Snapshot {
+    processor: Duration,
+    appends: IndexMap<LogStream, usize>,
+    samples: u64,
+}
+
+impl Snapshot {
+    fn take(fleet: &mut Fleet, instances: &[InstanceId]) -> Self {
+        fleet.sent.clear();
+        fleet.received.clear();
+        fleet.log_reads.clear();
+        fleet.handle_time.clear();
+        let appends = LogStream::ALL.map(|stream| (stream, fleet.log.records(stream).len()));
+        Self {
+            processor: process::processor_time(),
+            appends: appends.into_iter().collect(),
+            samples: samples(fleet, instances),
+        }
+    }
+}
+
+fn samples(fleet: &Fleet, instances: &[InstanceId]) -> u64 {
+    let cores = instances.iter().filter_map(|id| fleet.core(id));
+    cores
+        .map(|core| core.counters().get(Counter::Samples))
+        .sum()
+}
+
+/// Returns the part of the wall's time in which this process had a processor.
+fn processor_part(before: Duration, wall: Instant) -> f64 {
+    let used = process::processor_time().saturating_sub(before);
+    (used.as_secs_f64() / wall.elapsed().as_secs_f64()).min(1.0)
+}
+
+fn traffic(
+    counted: &IndexMap<(InstanceId, &'static str), wisteriaford_fakes::Sent>,
+    per: f64,
+) -> IndexMap<&'static str, Traffic> {
+    let mut kinds: IndexMap<&'static str, Traffic> = IndexMap::new();
+    for ((_, kind), sent) in counted {
+        let traffic = kinds.entry(kind).or_default();
+        traffic.messages_per_s += count(sent.messages) / per;
+        traffic.bytes_per_s += count(sent.bytes) / per;
+    }
+    kinds.sort_unstable_keys();
+    kinds
+}
+
+fn log_use(fleet: &Fleet, start: &Snapshot, window_s: f64) -> IndexMap<&'static str, LogUse> {
+    let use_of = |stream: LogStream| {
+        let appended = fleet.log.records(stream).len() - start.appends[&stream];
+        let reads = fleet.log_reads.get(&stream).copied().unwrap_or_default();
+        let used = LogUse {
+            appends_per_s: count(appended as u64) / window_s,
+            read: Traffic {
+                messages_per_s: count(reads.messages) / window_s,
+                bytes_per_s: count(reads.bytes) / window_s,
+            },
+        };
+        (stream.name(), used)
+    };
+    LogStream::ALL.into_iter().map(use_of).collect()
+}
+
+/// Makes a number of a count; counts here are far below 2^52.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn count(count: u64) -> f64 {
+    count as f64
+}
--- a/wisteriaford_bench/src/main.rs
+++ b/wisteriaford_bench/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::Parser;
 use clap::Subcommand;
+use wisteriaford_bench::capacity;
 use wisteriaford_bench::measure;
 use wisteriaford_bench::quickstart;
 
@@ -21,11 +22,14 @@
     Quickstart(quickstart::Settings),
     /// Measure the policy under load and faults, in virtual time
     Measure(measure::Settings),
+    /// Measure what an instance costs in fleets of several sizes, in virtual time
+    Capacity(capacity::Settings),
 }
 
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Quickstart(settings) => quickstart::main(&settings),
         Command::Measure(settings) => measure::main(&settings),
+        Command::Capacity(settings) => capacity::main(&settings),
     }
 }
--- a/wisteriaford_fakes/src/fleet.rs
+++ b/wisteriaford_fakes/src/fleet.rs
@@ -14,6 +14,7 @@
 use wisteriaford_core::event::CallerRequest;
 use wisteriaford_core::event::Event;
 use wisteriaford_core::event::Identity;
+use wisteriaford_core::event::LogFailure;
 use wisteriaford_core::event::LogStream;
 use wisteriaford_core::event::Ticket;
 use wisteriaford_core::hash::hash_parts;
@@ -47,6 +48,8 @@
 const LOG_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a failed read of the log.
 const LOG_RETRY: Duration = Duration::from_millis(500);
+/// Port that all instances listen at for peers.
+const PEER_PORT: u16 = 7_401;
 /// Seeds that a new instance is given at most.
 const MAX_SEEDS: usize = 3;
 
@@ -114,6 +117,24 @@
     pub bytes: u64,
 }
 
+impl Sent {
+    pub(crate) fn add(&mut self, bytes: u64) {
+        self.messages += 1;
+        self.bytes += bytes;
+    }
+}
+
+/// Returns the address for peers of an instance.
+fn address_of(name: &str) -> CompactString {
+    format_compact!("{name}:{PEER_PORT}")
+}
+
+/// Returns the instance that has an address for peers.
+fn instance_at(address: &str) -> InstanceId {
+    let name = address.split_once(':').map_or(address, |(name, _)| name);
+    InstanceId::from(name)
+}
+
 /// What is due at some time.
 #[derive(Debug)]
 pub(crate) enum Item {
@@ -168,6 +189,14 @@
     pub repeat_lines: u32,
     /// Messages that each instance sent, by the name of their kind.
     pub sent: IndexMap<(InstanceId, &'static str), Sent>,
+    /// Messages that reached each instance, by the name of their kind.
+    pub received: IndexMap<(InstanceId, &'static str), Sent>,
+    /// Reads of the log by stream, and the bytes of the records that they returned.
+    pub log_reads: IndexMap<LogStream, Sent>,
+    /// Whether instances of different regions reach each other.
+    pub are_regions_apart: bool,
+    /// Only instance that the log answers, if one is set.
+    pub log_answers_only: Option<InstanceId>,
     settings: FleetSettings,
     now: Timestamp,
     schedule: Schedule<Item>,
@@ -200,6 +229,10 @@
             late_lines: 0,
             repeat_lines: 0,
             sent: IndexMap::new(),
+            received: IndexMap::new(),
+            log_reads: IndexMap::new(),
+            are_regions_apart: false,
+            log_answers_only: None,
             settings,
             now: Timestamp::from_millis(1_000_000),
             schedule: Schedule::new(),
@@ -226,7 +259,7 @@
         self.next_incarnation += 1;
         let identity = Identity {
             id: id.clone(),
-            address: format_compact!("{name}:7401"),
+            address: address_of(name),
             availability_zone: AvailabilityZone::from(zone),
             region: Region::from(region),
             incarnation: Incarnation(self.now.as_millis() + incarnation),
@@ -440,9 +473,18 @@
             return Some(LOG_RETRY);
         }
         let from = node.log_from.get(&stream).copied().unwrap_or(Offset(1));
-        let result = self.log.read(stream, from);
+        let is_answered = self.log_answers_only.as_ref().is_none_or(|only| only == id);
+        let result = if is_answered {
+            self.log.read(stream, from)
+        } else {
+            Err(LogFailure::NotReached)
+        };
+        let reads = self.log_reads.entry(stream).or_default();
+        reads.messages += 1;
         let wait = if result.is_ok() { LOG_WAIT } else { LOG_RETRY };
         if let Ok(read) = &result {
+            let bytes = read.records.iter().map(|record| record.data.len() as u64);
+            reads.bytes += bytes.sum::<u64>();
             let last = read.records.last().map(|record| record.offset.next());
             let next = last.unwrap_or(from.max(read.first_offset));
             node.log_from.insert(stream, next);
--- a/wisteriaford_fakes/src/fleet/border.rs
+++ b/wisteriaford_fakes/src/fleet/border.rs
@@ -30,6 +30,7 @@
 use super::Fleet;
 use super::Item;
 use super::answer_key;
+use super::instance_at;
 use crate::engine::Stream;
 use crate::engine::expected_text;
 use crate::engine::expected_tokens;
@@ -126,12 +127,9 @@
             .sent
             .entry((from.clone(), kind_of(&message)))
             .or_default();
-        sent.messages += 1;
-        sent.bytes += message.encoded_len() as u64;
-        let to = self
-            .nodes
-            .values()
-            .find(|node| node.identity.address == *address);
+        let bytes = message.encoded_len() as u64;
+        sent.add(bytes);
+        let to = self.nodes.get(&instance_at(address));
         let Some(to) = to.filter(|node| node.state != NodeState::Gone) else {
             return;
         };
@@ -144,10 +142,15 @@
             return;
         };
         let me = &node.identity;
+        if self.are_regions_apart && me.region != to.region {
+            return;
+        }
         let latency = self.latency(
             (&me.availability_zone, &me.region),
             (&to.availability_zone, &to.region),
         );
+        let received = (to.id.clone(), kind_of(&message));
+        self.received.entry(received).or_default().add(bytes);
         self.deliver(self.now + latency, &to.id, Event::Peer(message));
     }
 
--- a/wisteriaford_fakes/src/lib.rs
+++ b/wisteriaford_fakes/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod engine;
 mod fleet;
+mod layout;
 mod log;
 mod node;
 mod schedule;
@@ -19,6 +20,8 @@
 pub use fleet::Answer;
 pub use fleet::Fleet;
 pub use fleet::FleetSettings;
+pub use fleet::Sent;
+pub use layout::Layout;
 pub use log::Log;
 pub use node::Decide;
 pub use node::Maker;
--- a/wisteriaford_fakes/src/log.rs
+++ b/wisteriaford_fakes/src/log.rs
@@ -68,9 +68,10 @@
         }
         let first = self.first.get(&stream).copied().unwrap_or(1);
         let records = self.streams.get(&stream).map_or(&[][..], Vec::as_slice);
-        let wanted = records
-            .iter()
-            .filter(|record| record.offset.0 >= first && record.offset >= from);
+        // Offsets are places, counted from one.
+        let skipped = from.0.max(first).saturating_sub(1);
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        let wanted = records.iter().skip(skipped);
         Ok(LogRead {
             first_offset: Offset(first),
             next_offset: self.next_offset(stream),
