Let the last engines that stay be swapped while others leave

With three of four engines leaving, the capacity floor of half left no engine that may load at a time: the one that stayed kept its old weights for good, and a trainer ahead of it by more than the bound got no sample until an operator came. Where engines are leaving, one may load now. With all engines staying the floor holds as before.

--- a/wisteriaford_core/src/rollout.rs
+++ b/wisteriaford_core/src/rollout.rs
@@ -134,6 +134,10 @@
         }
         self.engines = engines;
         self.floor_out = loads_at_once(self.engines.len(), pool.capacity_floor_percent);
+        if self.engines.len() < pool.endpoints.len() {
+            // What is left must not run old weights for good.
+            self.floor_out = self.floor_out.max(1);
+        }
         self.width = pool.concurrent_loads.min(self.floor_out);
         self.paced_by_store = pool.concurrent_loads < self.floor_out;
         self.rank();
