--- /dev/null
+++ b/wisteriaford_fakes/tests/support/counts.rs
@@ -0,0 +1,59 @@
+//! Counts of what a fuzz run did, and its seeds.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRunner;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+
+static COUNTS: Mutex<BTreeMap<&str, u64>> = Mutex::new(BTreeMap::new());
+
+/// Counts something that a run did.
+pub(crate) fn count(kind: &'static str, times: u64) {
+    let mut counts = COUNTS.lock().expect("counts");
+    *counts.entry(kind).or_default() += times;
+}
+
+fn number_from(variable: &str, default: u64) -> u64 {
+    let text = std::env::var(variable).unwrap_or_default();
+    text.parse().unwrap_or(default)
+}
+
+/// Runs `cases` cases for each seed, then checks that each of `kinds` was counted.
+pub(crate) fn run<T>(cases: u32, transitions: std::ops::Range<usize>, kinds: &[&str])
+where
+    T: StateMachineTest,
+    <T::Reference as ReferenceStateMachine>::State: Clone + std::fmt::Debug,
+    <T::Reference as ReferenceStateMachine>::Transition: Clone + std::fmt::Debug,
+{
+    let seeds = number_from("WISTERIAFORD_SEEDS", 1);
+    let first = number_from("WISTERIAFORD_FIRST_SEED", 0);
+    for seed in first..first + seeds {
+        let config = Config {
+            cases,
+            rng_seed: RngSeed::Fixed(seed),
+            rng_algorithm: RngAlgorithm::ChaCha,
+            failure_persistence: None,
+            max_shrink_iters: 200,
+            max_shrink_time: 60_000,
+            ..Config::default()
+        };
+        let strategy = T::Reference::sequential_strategy(transitions.clone());
+        let result = TestRunner::new(config).run(&strategy, |(state, steps, seen)| {
+            T::test_sequential(Config::default(), state, steps, seen);
+            Ok(())
+        });
+        assert!(result.is_ok(), "seed {seed}: {}", result.unwrap_err());
+    }
+    let counts = COUNTS.lock().expect("counts");
+    println!("{counts:#?}");
+    for kind in kinds {
+        let times = counts.get(kind).copied().unwrap_or_default();
+        assert!(times > 0, "no {kind}");
+    }
+    assert!(counts["cases"] >= u64::from(cases));
+}
