--- a/wisteriaford_fakes/tests/support/world.rs
+++ b/wisteriaford_fakes/tests/support/world.rs
@@ -472,6 +472,11 @@
             .retain(|(engine, by), _| *by != Source::Engine || fake(*engine).is_leaving);
         for ((engine, by), leaving) in &mut self.leaving {
             let begun = fake(*engine).begun;
+            if *by == Source::Engine && fake(*engine).is_silent {
+                // It cannot say so while nothing of it gets through.
+                leaving.since = now;
+                leaving.begun = None;
+            }
             if now.since(leaving.since) < LEFT_WITHIN {
                 continue;
             }
