Serve nothing after a pause until the log's end was read again

Cause: an instance that was paused went on with the configuration it had, one second after it resumed at the latest; a busy machine took longer to bring the newer revision. Seen as a call served by a route that the newest revision does not have, in the process test of a frozen instance. Ruled out: a longer rest, which only moves the odds. Callers are refused as not run until the stream of the configuration was read twice to its end, the second time surely since the pause; without the log, after three seconds in which peers tell their revision.

With the check off, both cases of the new test serve a caller that the newest revision does not have.

--- a/wisteriaford/tests/command_line.rs
+++ b/wisteriaford/tests/command_line.rs
@@ -187,7 +187,8 @@
 #[case("man")]
 #[case("completions")]
 fn generated_pages_are_as_committed(#[case] folder: &str) {
-    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("wisteriaford_pages_{folder}"));
+    let directory =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("wisteriaford_pages_{folder}"));
 
     pages::write(&directory).unwrap();
 
--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -8,6 +8,7 @@
 mod caches;
 mod callers;
 mod claims;
+mod confirmation;
 mod fleet;
 mod log;
 mod requests;
@@ -42,6 +43,7 @@
 use crate::id::RequestId;
 use crate::id::Revision;
 use crate::instance::caches::Followed;
+use crate::instance::confirmation::Confirmation;
 use crate::lease::Leases;
 use crate::leaving::Leaving;
 use crate::limits::Limits;
@@ -167,6 +169,8 @@
     handled_at: Option<Timestamp>,
     /// Until when nothing new is sent to endpoints, as the process was paused.
     rests_until: Timestamp,
+    /// What is still waited for before callers are served, as the process was paused.
+    confirmation: Option<Confirmation>,
 }
 
 /// When things that are done at an interval are due next.
@@ -233,6 +237,7 @@
             is_leaving: false,
             handled_at: None,
             rests_until: Timestamp::default(),
+            confirmation: None,
             identity,
             options,
         }
@@ -277,6 +282,7 @@
             return;
         }
         self.rests_until = now + REST;
+        self.doubt_configuration(now);
         self.timers.next_listing = now + REST;
         self.effects.push(Effect::PollInstances);
         self.stewards.distrust_reports(now);
@@ -291,6 +297,7 @@
     }
 
     fn tick(&mut self, now: Timestamp) {
+        self.tick_confirmation(now);
         self.tick_fleet(now);
         self.tick_requests(now);
         self.tick_caches(now);
--- a/wisteriaford_core/src/instance/callers.rs
+++ b/wisteriaford_core/src/instance/callers.rs
@@ -273,7 +273,7 @@
             let refusal = Refusal::not_run(RefusalReason::ShuttingDown);
             return Err(refusal.with_retry_after(SHUTDOWN_RETRY_AFTER));
         }
-        if self.fold.current().is_none() {
+        if !self.may_serve() {
             let refusal = Refusal::not_run(RefusalReason::NoConfiguration);
             return Err(refusal.with_retry_after(CONFIGURATION_RETRY_AFTER));
         }
--- a/wisteriaford_core/src/instance/log.rs
+++ b/wisteriaford_core/src/instance/log.rs
@@ -52,7 +52,12 @@
         }
         let end = read.records.last().map(|record| record.offset.next());
         match stream {
-            LogStream::Configuration => self.adopt(now, "log"),
+            LogStream::Configuration => {
+                self.adopt(now, "log");
+                if end.is_none_or(|end| end >= read.next_offset) {
+                    self.confirm_configuration();
+                }
+            }
             LogStream::Leases => {
                 self.leases_read |= end.is_none_or(|end| end >= read.next_offset);
             }
--- a/wisteriaford_core/src/instance/status.rs
+++ b/wisteriaford_core/src/instance/status.rs
@@ -24,7 +24,7 @@
         if self.is_leaving {
             return Err(NotReady::Leaving);
         }
-        if self.fold.current().is_none() {
+        if !self.may_serve() {
             return Err(NotReady::NoConfiguration);
         }
         Ok(())
--- a/wisteriaford_fakes/tests/support/small_fleet.rs
+++ b/wisteriaford_fakes/tests/support/small_fleet.rs
@@ -66,7 +66,7 @@
     }
 }
 
-fn configuration() -> Configuration {
+pub(crate) fn configuration() -> Configuration {
     Configuration {
         pools: vec![pool()],
         endpoints: (0..2).map(endpoint).collect(),
--- a/wisteriafordd/tests/settings.rs
+++ b/wisteriafordd/tests/settings.rs
@@ -233,7 +233,8 @@
 #[case("man")]
 #[case("completions")]
 fn generated_pages_are_as_committed(#[case] folder: &str) {
-    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("wisteriafordd_pages_{folder}"));
+    let directory =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("wisteriafordd_pages_{folder}"));
     let committed = Path::new(env!("CARGO_MANIFEST_DIR")).join("../extra");
 
     pages::write(&directory).unwrap();
