Measure the added latency of the path and the rate that a daemon carries

One run alternates calls to a stand-in directly and through a daemon; then calls are sent at rising rates, timed from when they were due, until the 99th percentile doubles.

--- a/wisteriaford_bench/src/main.rs
+++ b/wisteriaford_bench/src/main.rs
@@ -5,6 +5,7 @@
 use clap::Parser;
 use clap::Subcommand;
 use wisteriaford_bench::capacity;
+use wisteriaford_bench::latency;
 use wisteriaford_bench::measure;
 use wisteriaford_bench::quickstart;
 
@@ -20,6 +21,8 @@
 enum Command {
     /// Run the whole path as separate processes and check what the users were promised
     Quickstart(quickstart::Settings),
+    /// Measure the latency that the path adds to a call, and the rate that one daemon carries
+    Latency(latency::Settings),
     /// Measure the policy under load and faults, in virtual time
     Measure(measure::Settings),
     /// Measure what an instance costs in fleets of several sizes, in virtual time
@@ -29,6 +32,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Quickstart(settings) => quickstart::main(&settings),
+        Command::Latency(settings) => latency::main(&settings),
         Command::Measure(settings) => measure::main(&settings),
         Command::Capacity(settings) => capacity::main(&settings),
     }
