--- a/wisteriaford_fakes/tests/recovery.rs
+++ b/wisteriaford_fakes/tests/recovery.rs
@@ -209,6 +209,24 @@
     assert!(begun(&world, 0) > before);
 }
 
+#[test]
+fn instance_that_was_paused_sends_nothing_new_to_an_endpoint_that_left_meanwhile() {
+    for engine in 0..ENGINES {
+        for at in 0..INSTANCES {
+            let mut world = World::new(12);
+            world.freeze(at);
+            world.list_leaving(engine);
+            world.advance(Duration::from_millis(8_500));
+            let before = begun(&world, engine);
+
+            world.resume(at);
+            world.advance(3 * SECOND);
+
+            assert_eq!(begun(&world, engine), before, "engine {engine} by {at}");
+        }
+    }
+}
+
 #[test]
 fn request_that_crashes_endpoints_is_refused_whichever_instance_it_reaches_next() {
     let mut world = World::new(9);
