Measure the latency of the path and the rate that one daemon carries

A rejected publication now ends the measurement with its faults instead of a wait for readiness; it was seen so when one engine and a capacity floor of half contradicted each other.

--- a/wisteriaford_bench/src/latency.rs
+++ b/wisteriaford_bench/src/latency.rs
@@ -24,7 +24,9 @@
 use crate::processes::http;
 
 /// Rates that are tried, in requests a second.
-const RATES_PER_S: [u32; 10] = [50, 100, 200, 400, 600, 800, 1_200, 1_600, 2_400, 3_200];
+const RATES_PER_S: [u32; 10] = [
+    50, 200, 800, 1_600, 3_200, 4_800, 6_400, 8_000, 9_600, 12_800,
+];
 /// Callers that send at the tried rate.
 const SENDERS: usize = 96;
 /// Slots of each service, so that they hold nothing up.
@@ -119,7 +121,7 @@
 fn start() -> Result<Fleet> {
     let plan = FleetPlan {
         daemons: 1,
-        engines: 1,
+        engines: 2,
         plain_services: 2,
         plain_arguments: ["--call-ms", "0", "--slots", "10000"]
             .map(str::to_owned)
@@ -135,7 +137,13 @@
         caller.rate_limit_per_s = RATE_LIMIT_PER_S;
         caller.in_flight_limit = SLOTS;
     }
-    fleet.publish(&configuration, &[])?;
+    let output = fleet.publish(&configuration, &[])?;
+    if output.exit_code != Some(0) {
+        return Err(ProcessError::NotStarted {
+            name: "configuration".to_owned(),
+            output: output.text,
+        });
+    }
     fleet.wait_until_ready(1)?;
     Ok(fleet)
 }
@@ -194,25 +202,28 @@
     Ok((latency(&direct), latency(&through_daemon)))
 }
 
-/// Tries rising rates until the 99th percentile is more than twice that of the lowest.
+/// Tries rising rates until the 99th percentile is more than twice the lowest seen.
 fn rates(call: &Call, length: Duration) -> Vec<AtRate> {
     let mut tried: Vec<AtRate> = Vec::new();
     for rate_per_s in RATES_PER_S {
         let at_rate = try_rate(call, rate_per_s, length);
         tried.push(at_rate);
-        if !holds(&tried[0], &at_rate) {
+        if !holds(&tried, &at_rate) {
             break;
         }
     }
     tried
 }
 
-fn holds(lowest: &AtRate, at_rate: &AtRate) -> bool {
-    at_rate.failed == 0 && at_rate.latency.p99_us <= 2 * lowest.latency.p99_us
+fn holds(tried: &[AtRate], at_rate: &AtRate) -> bool {
+    let lowest = tried.iter().map(|other| other.latency.p99_us).min();
+    at_rate.failed == 0 && lowest.is_some_and(|p99_us| at_rate.latency.p99_us <= 2 * p99_us)
 }
 
+/// Returns the highest rate up to which each held.
 fn carried(rates: &[AtRate]) -> u32 {
-    let holding = rates.iter().filter(|at_rate| holds(&rates[0], at_rate));
+    let holding = rates.iter().skip_while(|at_rate| !holds(rates, at_rate));
+    let holding = holding.take_while(|at_rate| holds(rates, at_rate));
     holding.map(|at_rate| at_rate.rate_per_s).max().unwrap_or(0)
 }
 
