Read claims in batches

Cause: each append to the stream of claims ended the long poll of every instance. Measured at 50 instances and 40 keyed calls a second: 40,200 reads in 10 s, 80 a second and instance. A reader now rests 100 ms after a read that brought claims; the test allows 11 reads a second and instance and fails with the rest off. A first claim is not delayed, later ones by up to 100 ms. Reading at fixed intervals was ruled out, as it would delay every keyed call of a quiet fleet.

--- a/wisteriaford_core/src/event.rs
+++ b/wisteriaford_core/src/event.rs
@@ -85,6 +85,18 @@
     /// All streams.
     pub const ALL: [Self; 3] = [Self::Configuration, Self::Leases, Self::Claims];
 
+    /// Returns how long a reader waits after a read that brought records.
+    ///
+    /// Claims come many a second, and each would end a read of every instance; they are read in
+    /// batches once the first has come. The other streams are rarely appended to.
+    #[must_use]
+    pub const fn pause_after_records(self) -> Duration {
+        match self {
+            Self::Configuration | Self::Leases => Duration::ZERO,
+            Self::Claims => Duration::from_millis(100),
+        }
+    }
+
     /// Returns the name of the stream at the platform.
     #[must_use]
     pub const fn name(self) -> &'static str {
--- a/wisteriaford_fakes/src/fleet.rs
+++ b/wisteriaford_fakes/src/fleet.rs
@@ -294,6 +294,7 @@
             run,
             held: Vec::new(),
             log_from: IndexMap::new(),
+            log_rests: IndexMap::new(),
         }
     }
 
@@ -400,9 +401,7 @@
                 let next = self.now + wait;
                 self.schedule.push(next, Item::ReadLog(id, run, stream));
             }
-            Item::Wake(id, run, stream) => {
-                self.read_log(&id, run, stream);
-            }
+            Item::Wake(id, run, stream) => self.wake(id, run, stream),
             Item::Restart(address, incarnation) => {
                 let engine = self.engines.get(&address);
                 if engine.is_some_and(|engine| engine.incarnation.0 == incarnation) {
@@ -488,12 +487,30 @@
             let last = read.records.last().map(|record| record.offset.next());
             let next = last.unwrap_or(from.max(read.first_offset));
             node.log_from.insert(stream, next);
+            if last.is_some() {
+                let rests_until = self.now + stream.pause_after_records();
+                node.log_rests.insert(stream, (rests_until, false));
+            }
         }
         let at = self.now + self.settings.platform_latency;
         self.deliver(at, id, Event::LogRead(stream, result));
         Some(wait)
     }
 
+    /// Ends an instance's read of the log, unless its reader rests after the one before.
+    fn wake(&mut self, id: InstanceId, run: u64, stream: LogStream) {
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let rest = node.log_rests.entry(stream).or_default();
+        if self.now >= rest.0 {
+            self.read_log(&id, run, stream);
+        } else if !std::mem::replace(&mut rest.1, true) {
+            let at = rest.0;
+            self.schedule.push(at, Item::Wake(id, run, stream));
+        }
+    }
+
     fn listed(&self) -> Vec<ListedInstance> {
         if let Some(listed) = &self.listed {
             return listed.clone();
--- a/wisteriaford_fakes/src/node.rs
+++ b/wisteriaford_fakes/src/node.rs
@@ -42,4 +42,6 @@
     pub(crate) held: Vec<Event>,
     /// Where the log is read from next.
     pub(crate) log_from: IndexMap<LogStream, Offset>,
+    /// Until when its reader rests after a read that brought records, and whether it is due then.
+    pub(crate) log_rests: IndexMap<LogStream, (Timestamp, bool)>,
 }
--- a/wisteriaford_fakes/tests/capacity.rs
+++ b/wisteriaford_fakes/tests/capacity.rs
@@ -13,6 +13,7 @@
 use wisteriaford_core::id::RouteId;
 use wisteriaford_core::note::Note;
 use wisteriaford_core::reply::Reply;
+use wisteriaford_fakes::Answer;
 use wisteriaford_fakes::Fleet;
 use wisteriaford_fakes::Layout;
 
@@ -204,3 +205,28 @@
         "{steady}"
     );
 }
+
+#[test]
+fn claims_of_many_are_read_in_batches() {
+    let (mut fleet, instances) = joined();
+    let seconds = 10;
+    let calls_per_s = 40;
+    fleet.log_reads.clear();
+    let mut answered = 0;
+
+    for number in 0..seconds * calls_per_s {
+        let instance = &instances[number % INSTANCES];
+        fleet.call(instance, keyed_call(number)).unwrap();
+        fleet.run_for(Duration::from_secs(1) / u32::try_from(calls_per_s).unwrap());
+        let answers = fleet.take_answers();
+        let whole = |answer: &&Answer| matches!(answer.reply, Reply::Called(_));
+        answered += answers.iter().filter(whole).count();
+    }
+
+    let reads = fleet.log_reads[&LogStream::Claims].messages;
+    let most_a_s = 1_000 / LogStream::Claims.pause_after_records().as_millis();
+    // A read that waits for records ends every two seconds besides.
+    let most = INSTANCES * seconds * (usize::try_from(most_a_s).unwrap() + 1);
+    assert!(answered > seconds * calls_per_s * 9 / 10, "{answered}");
+    assert!(reads <= most as u64, "{reads} reads");
+}
--- a/wisteriafordd/src/worker.rs
+++ b/wisteriafordd/src/worker.rs
@@ -217,12 +217,15 @@
             let last = read.records.last().map(|record| record.offset.next());
             from = last.unwrap_or(from.max(read.first_offset));
         }
+        let has_records = read.as_ref().is_ok_and(|read| !read.records.is_empty());
         let event = Event::LogRead(stream, read);
         if inputs.send(Input::Event(event)).is_err() {
             return;
         }
         if failed {
             thread::sleep(LOG_RETRY_DELAY);
+        } else if has_records {
+            thread::sleep(stream.pause_after_records());
         }
     }
 }
