Keep the gossip of suspects and of use in one place each

The exchange spread suspects and summed the use of callers, though the quarantine and the limits do both for the instance; what the exchange had gathered of them was overwritten before each send. The exchange keeps endpoints, versions and the revision.

--- a/wisteriaford_core/src/exchange.rs
+++ b/wisteriaford_core/src/exchange.rs
@@ -1,4 +1,4 @@
-//! Gossip of the fleet's state: endpoints, suspects, use by callers, versions, the revision.
+//! Gossip of the fleet's state: endpoints, versions, use by callers, the revision.
 //!
 //! Each round a few random peers get what changed, within a bound of bytes; each piece is sent a
 //! bounded number of times, and the newest report of a steward wins. The revision in force rides
@@ -16,12 +16,10 @@
 use wisteriaford_proto::fleet::EndpointState;
 use wisteriaford_proto::fleet::FleetMessage;
 use wisteriaford_proto::fleet::ModelVersion;
-use wisteriaford_proto::fleet::Suspect;
 use wisteriaford_proto::record::Republication;
 
 use crate::configuration::InForce;
 use crate::gossip::Gossip;
-use crate::id::CallerId;
 use crate::id::EndpointId;
 use crate::id::Incarnation;
 use crate::id::InstanceId;
@@ -49,9 +47,6 @@
 /// Reports of load a second that the whole fleet may spread.
 pub const LOAD_REPORTS_PER_S: u32 = 30;
 
-const SUSPECT_AGE: Duration = Duration::from_secs(600);
-const MAX_SUSPECTS: usize = 4_096;
-const USE_AGE: Duration = Duration::from_secs(10);
 const MAX_ITEMS: usize = 32;
 const REPEATS_A_MESSAGE: usize = 4;
 const MAX_STEWARDS: usize = 4;
@@ -71,8 +66,6 @@
     Offered(Box<Republication>),
     /// The state of an endpoint is news.
     Endpoint(EndpointState),
-    /// A crash with this request in progress is news.
-    Suspect(Suspect),
     /// A higher version of a model is known.
     Model {
         /// Model.
@@ -84,7 +77,6 @@
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Key {
-    Suspect(u64, CompactString),
     Model(ModelId),
     Endpoint(EndpointId),
 }
@@ -96,40 +88,18 @@
     sequences: IndexMap<CompactString, u64>,
 }
 
-#[derive(Clone, Copy)]
-struct Sighting {
-    seen_at: Timestamp,
-    cleared: bool,
-}
-
-struct UseOfPeer {
-    callers: Vec<CallerUse>,
-    heard_at: Timestamp,
-}
-
-/// Use by a caller over the fleet, estimated from the peers heard of lately.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct FleetUse {
-    /// Requests in progress.
-    pub in_flight: u64,
-    /// Requests a second asked for, in thousandths.
-    pub demand_milli_per_s: u64,
-}
-
 /// State that an instance has of the fleet, and what it spreads of it.
 pub struct Exchange {
     me: InstanceId,
     random: Pcg64,
     sequence: u64,
     round_at: Timestamp,
-    /// Crashes and versions of models: few, and sent before the states of endpoints.
+    /// Versions of models: few, and sent before the states of endpoints.
     urgent: Gossip<Key>,
     gossip: Gossip<Key>,
     endpoints: IndexMap<EndpointId, KnownEndpoint>,
-    suspects: IndexMap<(u64, CompactString), Sighting>,
     models: IndexMap<ModelId, Version>,
     own_use: Vec<CallerUse>,
-    peer_use: IndexMap<InstanceId, UseOfPeer>,
     contents_left: usize,
     asked_at: Option<Timestamp>,
     repeated: usize,
@@ -148,10 +118,8 @@
             urgent: Gossip::default(),
             gossip: Gossip::default(),
             endpoints: IndexMap::new(),
-            suspects: IndexMap::new(),
             models: IndexMap::new(),
             own_use: Vec::new(),
-            peer_use: IndexMap::new(),
             contents_left: CONTENTS_A_ROUND,
             asked_at: None,
             repeated: 0,
@@ -171,17 +139,6 @@
         self.models.get(model).copied().unwrap_or_default()
     }
 
-    /// Returns the crashes that count against a request, by their unique names.
-    pub fn crashes_of(&self, fingerprint: u64) -> impl Iterator<Item = &str> {
-        let counted = self
-            .suspects
-            .iter()
-            .filter(|(_, sighting)| !sighting.cleared);
-        counted
-            .filter(move |((known, _), _)| *known == fingerprint)
-            .map(|((_, crash), _)| crash.as_str())
-    }
-
     /// Takes the state of an endpoint stewarded here; `sequence` and `steward` are set here.
     ///
     /// A change of version or availability is spread at once, a change of load alone no more
@@ -203,11 +160,6 @@
         self.take_endpoint(now, &state);
     }
 
-    /// Takes a crash that was seen here.
-    pub fn report_suspect(&mut self, now: Timestamp, suspect: &Suspect) {
-        self.take_suspect(now, suspect);
-    }
-
     /// Takes what callers use here now.
     pub fn report_use(&mut self, callers: Vec<CallerUse>) {
         self.own_use = callers;
@@ -223,27 +175,6 @@
         true
     }
 
-    /// Estimates what a caller uses over a fleet of so many instances.
-    ///
-    /// Peers are heard of at random, so the mean over those of the last seconds, times their
-    /// number, is without bias; in a small fleet all are heard of.
-    #[must_use]
-    pub fn fleet_use(&self, caller: &CallerId, instances: usize) -> FleetUse {
-        let lists = self.peer_use.values().map(|peer| &peer.callers);
-        let heard = self.peer_use.len() as u64 + 1;
-        let uses = std::iter::once(&self.own_use).chain(lists).flatten();
-        let mut sum = FleetUse::default();
-        for used in uses.filter(|used| used.caller == caller.as_str()) {
-            sum.in_flight += u64::from(used.in_flight);
-            sum.demand_milli_per_s += u64::from(used.demand_milli_per_s);
-        }
-        let instances = (instances as u64).max(heard);
-        FleetUse {
-            in_flight: (sum.in_flight * instances).div_ceil(heard),
-            demand_milli_per_s: (sum.demand_milli_per_s * instances).div_ceil(heard),
-        }
-    }
-
     /// Returns whether the next round is due.
     #[must_use]
     pub fn is_due(&self, now: Timestamp) -> bool {
@@ -265,7 +196,7 @@
         self.contents_left = CONTENTS_A_ROUND;
         self.expire(now);
         for to in peers.iter().sample(&mut self.random, FANOUT) {
-            let message = self.message(now, peers.len() + 1, revision);
+            let message = self.message(peers.len() + 1, revision);
             let to = to.clone();
             out.push(ExchangeOutput::Send { to, message });
         }
@@ -280,7 +211,7 @@
         current: Option<&InForce>,
         out: &mut Vec<ExchangeOutput>,
     ) {
-        self.merge(now, from, message, out);
+        self.merge(now, message, out);
         for copy in message.configuration.iter().take(1) {
             self.asked_at = None;
             out.push(ExchangeOutput::Offered(Box::new(copy.clone())));
@@ -313,23 +244,12 @@
         });
     }
 
-    fn merge(
-        &mut self,
-        now: Timestamp,
-        from: &Sender,
-        message: &FleetMessage,
-        out: &mut Vec<ExchangeOutput>,
-    ) {
+    fn merge(&mut self, now: Timestamp, message: &FleetMessage, out: &mut Vec<ExchangeOutput>) {
         for state in &message.endpoints {
             if state.steward != self.me.as_str() && self.take_endpoint(now, state) {
                 out.push(ExchangeOutput::Endpoint(state.clone()));
             }
         }
-        for suspect in &message.suspects {
-            if self.take_suspect(now, suspect) {
-                out.push(ExchangeOutput::Suspect(suspect.clone()));
-            }
-        }
         for known in &message.models {
             let model = ModelId::from(known.model.as_str());
             let version = Version(known.version);
@@ -337,12 +257,6 @@
                 out.push(ExchangeOutput::Model { model, version });
             }
         }
-        if message.says_use {
-            let callers = message.callers.clone();
-            let heard_at = now;
-            self.peer_use
-                .insert(from.id.clone(), UseOfPeer { callers, heard_at });
-        }
     }
 
     fn take_endpoint(&mut self, now: Timestamp, state: &EndpointState) -> bool {
@@ -372,36 +286,9 @@
         true
     }
 
-    /// Takes a crash that is new, or one that no longer counts; it never counts again.
-    fn take_suspect(&mut self, now: Timestamp, suspect: &Suspect) -> bool {
-        let age = Duration::from_millis(suspect.age_ms);
-        let key = (
-            suspect.fingerprint,
-            CompactString::from(suspect.crash.as_str()),
-        );
-        let cleared = suspect.cleared;
-        let full = self.suspects.len() >= MAX_SUSPECTS;
-        match self.suspects.get_mut(&key) {
-            Some(sighting) if cleared && !sighting.cleared => sighting.cleared = true,
-            Some(_) => return false,
-            None if age >= SUSPECT_AGE || full => return false,
-            None => {
-                let seen_at = now - age;
-                self.suspects
-                    .insert(key.clone(), Sighting { seen_at, cleared });
-            }
-        }
-        self.urgent.push(Key::Suspect(key.0, key.1));
-        true
-    }
-
     fn expire(&mut self, now: Timestamp) {
         self.endpoints
             .retain(|_, known| now.since(known.heard_at) < MAX_AGE);
-        self.suspects
-            .retain(|_, sighting| now.since(sighting.seen_at) < SUSPECT_AGE);
-        self.peer_use
-            .retain(|_, peer| now.since(peer.heard_at) < USE_AGE);
     }
 
     fn load_interval(&self) -> Duration {
@@ -410,7 +297,7 @@
         interval.clamp(Duration::from_secs(1), MAX_AGE / 3)
     }
 
-    fn message(&mut self, now: Timestamp, members: usize, revision: Revision) -> FleetMessage {
+    fn message(&mut self, members: usize, revision: Revision) -> FleetMessage {
         let mut message = FleetMessage {
             revision: revision.0,
             callers: self.own_use.clone(),
@@ -420,43 +307,40 @@
         let mut bytes = message.encoded_len();
         for key in self.urgent.take(MAX_ITEMS, members) {
             if bytes < MAX_MESSAGE_BYTES {
-                bytes += self.add(now, &key, &mut message);
+                bytes += self.add(&key, &mut message);
             } else {
                 // What has no room is not sent yet.
                 self.urgent.push(key);
             }
         }
-        for key in self.urgent_repeats() {
-            if bytes < MAX_MESSAGE_BYTES {
-                bytes += self.add(now, &key, &mut message);
-            }
+        if let Some(key) = self.urgent_repeat()
+            && bytes < MAX_MESSAGE_BYTES
+        {
+            bytes += self.add(&key, &mut message);
         }
         for key in self.gossip.take(MAX_ITEMS, members) {
             if bytes < MAX_MESSAGE_BYTES {
-                bytes += self.add(now, &key, &mut message);
+                bytes += self.add(&key, &mut message);
             } else {
                 self.gossip.push(key);
             }
         }
         for key in self.endpoint_repeats() {
             if bytes < MAX_MESSAGE_BYTES {
-                bytes += self.add(now, &key, &mut message);
+                bytes += self.add(&key, &mut message);
             }
         }
         message
     }
 
-    /// Picks a crash and a version in turn, for peers that all sends of them happened to miss.
+    /// Picks a version in turn, for peers that all sends of it happened to miss.
     ///
-    /// They go before the states of endpoints, which fill all room in a large fleet.
-    fn urgent_repeats(&mut self) -> Vec<Key> {
+    /// It goes before the states of endpoints, which fill all room in a large fleet.
+    fn urgent_repeat(&mut self) -> Option<Key> {
         self.repeated += 1;
-        let place = |len: usize| self.repeated % len.max(1);
-        let suspect = self.suspects.get_index(place(self.suspects.len()));
-        let suspect = suspect.map(|(key, _)| Key::Suspect(key.0, key.1.clone()));
-        let model = self.models.get_index(place(self.models.len()));
-        let model = model.map(|(model, _)| Key::Model(model.clone()));
-        suspect.into_iter().chain(model).collect()
+        let place = self.repeated % self.models.len().max(1);
+        let (model, _) = self.models.get_index(place)?;
+        Some(Key::Model(model.clone()))
     }
 
     /// Picks endpoints in turn, for the room that is left.
@@ -471,7 +355,7 @@
         keys
     }
 
-    fn add(&self, now: Timestamp, key: &Key, message: &mut FleetMessage) -> usize {
+    fn add(&self, key: &Key, message: &mut FleetMessage) -> usize {
         match key {
             Key::Endpoint(endpoint) => {
                 let Some(known) = self.endpoints.get(endpoint) else {
@@ -480,20 +364,6 @@
                 message.endpoints.push(known.state.clone());
                 known.state.encoded_len()
             }
-            Key::Suspect(fingerprint, crash) => {
-                let Some(sighting) = self.suspects.get(&(*fingerprint, crash.clone())) else {
-                    return 0;
-                };
-                let age_ms = now.since(sighting.seen_at).as_millis();
-                message.suspects.push(Suspect {
-                    cleared: sighting.cleared,
-                    fingerprint: *fingerprint,
-                    crash: crash.to_string(),
-                    progressed: false,
-                    age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
-                });
-                crash.len() + size_of::<u64>() * 2
-            }
             Key::Model(model) => {
                 message.models.push(ModelVersion {
                     model: model.to_string(),
--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -447,7 +447,6 @@
                     self.router.report(now, &state);
                     self.report_engine(now, &state);
                 }
-                ExchangeOutput::Suspect(_) => {}
                 ExchangeOutput::Model { model, version } => self.announced(now, &model, version),
             }
         }
--- a/wisteriaford_core/tests/exchange.rs
+++ b/wisteriaford_core/tests/exchange.rs
@@ -1,6 +1,5 @@
 //! The fleet's state reaches all instances, in time and within bounds.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use prost::Message;
@@ -11,7 +10,6 @@
 use wisteriaford_core::exchange::ExchangeOutput;
 use wisteriaford_core::exchange::FANOUT;
 use wisteriaford_core::exchange::MAX_MESSAGE_BYTES;
-use wisteriaford_core::id::CallerId;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::Incarnation;
 use wisteriaford_core::id::InstanceId;
@@ -21,10 +19,8 @@
 use wisteriaford_core::id::Version;
 use wisteriaford_core::membership::Sender;
 use wisteriaford_core::time::Timestamp;
-use wisteriaford_proto::fleet::CallerUse;
 use wisteriaford_proto::fleet::EndpointState;
 use wisteriaford_proto::fleet::FleetMessage;
-use wisteriaford_proto::fleet::Suspect;
 use wisteriaford_proto::record::Republication;
 
 use self::fixtures::configuration;
@@ -183,39 +179,17 @@
     let mut world = World::new(instances);
     world.loses_one_in = Some(5);
     let model = ModelId::from("fixer");
-    let crash = Suspect {
-        fingerprint: 7,
-        crash: "engine-3/1".to_owned(),
-        age_ms: 0,
-        cleared: false,
-        progressed: false,
-    };
-    let cleared = Suspect {
-        fingerprint: 8,
-        cleared: true,
-        ..crash.clone()
-    };
-    let counted = Suspect {
-        cleared: false,
-        ..cleared.clone()
-    };
     let now = world.now;
     for index in 0..instances {
         world.exchanges[index].report_endpoint(now, state(&long_name(index), 3));
     }
     world.exchanges[1].announce_model(&model, Version(4));
-    world.exchanges[2].report_suspect(now, &crash);
-    world.exchanges[3].report_suspect(now, &counted);
-    world.run(Duration::from_secs(2));
-    world.exchanges[4].report_suspect(world.now, &cleared);
 
     world.run(Duration::from_secs(15));
 
     assert!(world.lost > 0);
     for exchange in &world.exchanges {
         assert_eq!(exchange.model(&model), Version(4));
-        assert_eq!(exchange.crashes_of(7).collect::<Vec<_>>(), ["engine-3/1"]);
-        assert_eq!(exchange.crashes_of(8).count(), 0);
         for index in 0..instances {
             let endpoint = EndpointId::from(long_name(index));
             assert_eq!(exchange.endpoint(&endpoint).map(|s| s.version), Some(3));
@@ -291,29 +265,3 @@
 
     assert_eq!(out.len(), CONTENTS_A_ROUND);
 }
-
-#[test]
-fn use_by_a_caller_is_summed_over_the_fleet() {
-    let mut world = World::new(5);
-    let caller = CallerId::from("portal");
-    for (index, exchange) in world.exchanges.iter_mut().enumerate() {
-        // The first has no use, which counts too.
-        let used = (index > 0).then(|| CallerUse {
-            caller: caller.to_string(),
-            in_flight: u32::try_from(index).unwrap(),
-            demand_milli_per_s: 1_000,
-        });
-        exchange.report_use(used.into_iter().collect());
-    }
-
-    world.run(Duration::from_secs(8));
-
-    let mut seen = BTreeMap::new();
-    for exchange in &world.exchanges {
-        let used = exchange.fleet_use(&caller, 5);
-        *seen
-            .entry((used.in_flight, used.demand_milli_per_s))
-            .or_insert(0) += 1;
-    }
-    assert_eq!(seen, BTreeMap::from([((10, 4_000), 5)]));
-}
--- a/wisteriaford_core/tests/quarantine.rs
+++ b/wisteriaford_core/tests/quarantine.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
 use wisteriaford_core::id::Fingerprint;
 use wisteriaford_core::quarantine::MAX_SUSPECTS;
 use wisteriaford_core::quarantine::MAX_UPDATES;
@@ -130,3 +133,44 @@
     let until = NOW + HOLD;
     assert_eq!(b.verdict(NOW, GUILTY, HOLD), Verdict::Refused { until });
 }
+
+#[test]
+fn sightings_and_clearings_spread_through_lost_messages() {
+    let instances = 60;
+    let rounds = 34;
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut fleet: Vec<_> = (0..instances).map(|_| quarantine()).collect();
+    let (condemned, cleared) = (Fingerprint(7), Fingerprint(8));
+    fleet[2].note_crash(NOW, "engine-3@1", &[condemned]);
+    fleet[3].note_crash(NOW, "engine-3@1", &[cleared]);
+    let mut lost = 0;
+
+    for round in 0..rounds {
+        let now = NOW + Duration::from_millis(500) * round;
+        if round == 4 {
+            fleet[4].note_crash(now, "engine-3@1", &[cleared]);
+            fleet[4].note_completed(cleared);
+        }
+        for from in 0..instances {
+            let updates = fleet[from].updates(now);
+            for _ in 0..3 {
+                let to = rng.random_range(0..instances);
+                if rng.random_range(0..5) == 0 {
+                    lost += 1;
+                    continue;
+                }
+                for suspect in &updates {
+                    fleet[to].merge(now, suspect);
+                }
+            }
+        }
+    }
+
+    let end = NOW + Duration::from_millis(500) * rounds;
+    assert!(lost > 0);
+    for quarantine in &fleet {
+        let verdict = |fingerprint| quarantine.verdict(end, fingerprint, HOLD);
+        assert_eq!(verdict(condemned), Verdict::Alone);
+        assert_eq!(verdict(cleared), Verdict::Free);
+    }
+}
