--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -13,6 +13,7 @@
 mod log;
 mod requests;
 mod rollouts;
+mod slots;
 mod status;
 mod steps;
 
--- /dev/null
+++ b/wisteriaford_core/src/instance/slots.rs
@@ -0,0 +1,191 @@
+//! Slots of endpoints: asked for, granted and renewed, as steward and as entry.
+
+use wisteriaford_proto::admission::AdmissionMessage;
+use wisteriaford_proto::admission::SlotGrant;
+use wisteriaford_proto::admission::SlotHeartbeat;
+use wisteriaford_proto::admission::SlotRefusal;
+use wisteriaford_proto::admission::SlotRefusalReason;
+use wisteriaford_proto::admission::admission_message::Body as AdmissionBody;
+use wisteriaford_proto::peer::peer_message::Body;
+
+use super::Instance;
+use super::status::availability_name;
+use crate::admission::QueueOutput;
+use crate::admission::SlotDenial;
+use crate::counters::Counter;
+use crate::effect::Effect;
+use crate::id::AttemptId;
+use crate::id::EndpointId;
+use crate::id::Fingerprint;
+use crate::id::InstanceId;
+use crate::note::Note;
+use crate::quarantine::Verdict;
+use crate::steward::StewardOutput;
+use crate::time::Timestamp;
+
+impl Instance {
+    pub(super) fn admission(
+        &mut self,
+        now: Timestamp,
+        from: &InstanceId,
+        message: &AdmissionMessage,
+    ) {
+        match &message.body {
+            Some(AdmissionBody::Request(request)) => {
+                if let Err(denial) = self.stewards.request(now, from, request) {
+                    let attempt = AttemptId::from(request.attempt.as_str());
+                    let endpoint = EndpointId::from(request.endpoint.as_str());
+                    self.deny(now, from, &attempt, &endpoint, denial);
+                }
+            }
+            Some(AdmissionBody::Grant(grant)) => self.granted(now, grant),
+            Some(AdmissionBody::Release(release)) => {
+                let endpoint = EndpointId::from(release.endpoint.as_str());
+                let attempt = AttemptId::from(release.attempt.as_str());
+                let failed = release.failed;
+                self.stewards
+                    .release(now, &endpoint, &attempt, release.tokens, failed);
+            }
+            Some(AdmissionBody::Refusal(refusal)) => self.denied(now, refusal),
+            Some(AdmissionBody::Heartbeat(heartbeat)) => {
+                self.stewards.heartbeat(now, from, &heartbeat.held);
+            }
+            None => {}
+        }
+    }
+
+    pub(super) fn deny(
+        &mut self,
+        now: Timestamp,
+        to: &InstanceId,
+        attempt: &AttemptId,
+        endpoint: &EndpointId,
+        denial: SlotDenial,
+    ) {
+        let retry_after = denial.retry_after.unwrap_or_default();
+        let refusal = SlotRefusal {
+            attempt: attempt.to_string(),
+            endpoint: endpoint.to_string(),
+            reason: SlotRefusalReason::from(denial.reason).into(),
+            retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+        };
+        self.send_admission(now, to, AdmissionBody::Refusal(refusal));
+    }
+
+    /// Lets the endpoints that are looked after be polled, and their queues grant and deny.
+    pub(super) fn poll_stewards(&mut self, now: Timestamp) {
+        let mut outputs = Vec::new();
+        self.stewards.poll(now, &mut outputs);
+        for output in outputs {
+            self.steward_output(now, output);
+        }
+    }
+
+    pub(super) fn steward_output(&mut self, now: Timestamp, output: StewardOutput) {
+        match output {
+            StewardOutput::Queue(endpoint, output) => self.queue_output(now, &endpoint, output),
+            StewardOutput::Poll(endpoint, address) => {
+                self.effects.push(Effect::Poll { endpoint, address });
+            }
+            StewardOutput::Changed {
+                endpoint,
+                from,
+                to,
+                cause,
+            } => self.note(Note::EndpointChanged {
+                endpoint,
+                from: availability_name(from),
+                to: availability_name(to),
+                cause,
+            }),
+            StewardOutput::Crashed {
+                endpoint,
+                crash,
+                suspects,
+                progressed,
+            } => {
+                self.counters.add(Counter::EndpointCrashes, 1);
+                self.quarantine.note_crash(now, &crash, &suspects);
+                self.quarantine
+                    .note_crash_after_progress(now, &crash, &progressed);
+                self.note(Note::EndpointCrashed {
+                    endpoint: endpoint.clone(),
+                    suspects: suspects.len() + progressed.len(),
+                });
+                self.note_quarantined(now, &endpoint, &suspects);
+                self.note_quarantined(now, &endpoint, &progressed);
+            }
+            StewardOutput::Reached(endpoint, version) => {
+                self.note(Note::SwapDone { endpoint, version });
+            }
+        }
+    }
+
+    /// Notes which suspects of a crash are refused from now on.
+    pub(super) fn note_quarantined(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        suspects: &[Fingerprint],
+    ) {
+        let Some(pool) = self.settings.pool_of(endpoint) else {
+            return;
+        };
+        let hold = pool.quarantine;
+        for &suspect in suspects {
+            let verdict = self.quarantine.verdict(now, suspect, hold);
+            if matches!(verdict, Verdict::Refused { .. }) {
+                let fingerprint = suspect.0;
+                self.note(Note::RequestQuarantined { fingerprint });
+            }
+        }
+    }
+
+    pub(super) fn queue_output(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        output: QueueOutput,
+    ) {
+        match output {
+            QueueOutput::Grant {
+                attempt,
+                to,
+                ttl,
+                version,
+            } => {
+                let grant = SlotGrant {
+                    attempt: attempt.to_string(),
+                    endpoint: endpoint.to_string(),
+                    ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
+                    version: version.0,
+                };
+                self.send_admission(now, &to, AdmissionBody::Grant(grant));
+            }
+            QueueOutput::Deny {
+                attempt,
+                to,
+                denial,
+            } => self.deny(now, &to, &attempt, endpoint, denial),
+        }
+    }
+
+    /// Sends a message about slots, or handles it at once if it is for this instance.
+    pub(super) fn send_admission(&mut self, now: Timestamp, to: &InstanceId, body: AdmissionBody) {
+        let message = AdmissionMessage { body: Some(body) };
+        if *to == self.identity.id {
+            let me = self.identity.id.clone();
+            self.admission(now, &me, &message);
+            return;
+        }
+        self.send(to, Body::Admission(message));
+    }
+
+    /// Renews the slots held here at the stewards of their endpoints.
+    pub(super) fn heartbeat(&mut self, now: Timestamp) {
+        for (steward, held) in self.held_by_steward() {
+            let heartbeat = SlotHeartbeat { held };
+            self.send_admission(now, &steward, AdmissionBody::Heartbeat(heartbeat));
+        }
+    }
+}
