--- a/wisteriaford_core/src/instance/fleet.rs
+++ b/wisteriaford_core/src/instance/fleet.rs
@@ -44,7 +44,7 @@
             Some(Body::Membership(body)) => {
                 let mut outputs = Vec::new();
                 self.membership.handle(now, &sender, body, &mut outputs);
-                self.membership_outputs(now, outputs);
+                self.membership_outputs(outputs);
             }
             Some(Body::Admission(body)) => self.admission(now, &sender.id, body),
             Some(Body::Step(body)) => self.step_message(now, &sender.id, body),
@@ -102,7 +102,7 @@
     pub(super) fn tick_fleet(&mut self, now: Timestamp) {
         let mut outputs = Vec::new();
         self.membership.tick(now, &mut outputs);
-        self.membership_outputs(now, outputs);
+        self.membership_outputs(outputs);
         self.place(now);
         if now >= self.timers.next_heartbeat {
             self.timers.next_heartbeat = now + HEARTBEAT_INTERVAL;
@@ -176,7 +176,7 @@
         self.note(Note::StewardLeft { endpoint, to });
     }
 
-    fn membership_outputs(&mut self, _now: Timestamp, outputs: Vec<MembershipOutput>) {
+    fn membership_outputs(&mut self, outputs: Vec<MembershipOutput>) {
         for output in outputs {
             match output {
                 MembershipOutput::Send {
@@ -218,7 +218,7 @@
     pub(super) fn leave_fleet(&mut self, now: Timestamp) {
         let mut outputs = Vec::new();
         self.membership.leave(now, &mut outputs);
-        self.membership_outputs(now, outputs);
+        self.membership_outputs(outputs);
         self.is_placed = false;
         self.place(now);
     }
