--- /dev/null
+++ b/wisteriaford_core/src/gateway/fleet.rs
@@ -0,0 +1,282 @@
+//! What this instance observes of the endpoints, and its choice among them.
+//!
+//! Endpoints are judged by what they did for this instance: their pace, failures and refusals.
+//! What they say of themselves only says where they are and whether they leave.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::gateway::endpoint::Endpoint;
+use crate::gateway::endpoint::EndpointTable;
+use crate::id::AvailabilityZone;
+use crate::id::EndpointId;
+use crate::id::PoolId;
+use crate::time::Timestamp;
+
+/// First time that a failing endpoint is left out.
+const FIRST_EJECTION: Duration = Duration::from_millis(400);
+/// Longest time that a failing endpoint is left out.
+const MAX_EJECTION: Duration = Duration::from_secs(4);
+/// Failures in a row that leave an endpoint out.
+const FAILURES_TO_EJECT: u32 = 2;
+/// Time that an endpoint which refused as full is left out.
+const FULL_BACKOFF: Duration = Duration::from_millis(150);
+/// Weight of a new observation in the moving average of an endpoint's pace.
+const PACE_WEIGHT: f64 = 0.3;
+/// Time after which half of an endpoint's deviation from the usual pace is forgotten.
+const PACE_HALF_LIFE: Duration = Duration::from_secs(4);
+/// Cost of a request between availability zones, as a part of the usual pace.
+const CROSS_ZONE_COST: f64 = 0.25;
+/// Cost of a new connection, as a part of the usual pace.
+const NEW_CONNECTION_COST: f64 = 0.6;
+/// Pace, relative to the usual one, beyond which an endpoint loses its affinity.
+const MAX_AFFINITY_PACE: f64 = 2.0;
+
+/// What is known of one endpoint.
+#[derive(Clone, Debug)]
+struct Observed {
+    in_flight: u32,
+    failures: u32,
+    ejected_until: Timestamp,
+    full_until: Timestamp,
+    /// Pace relative to the usual one; 1 is usual, 2 takes twice as long.
+    relative_pace: f64,
+    paced_at: Timestamp,
+}
+
+impl Default for Observed {
+    fn default() -> Self {
+        Self {
+            in_flight: 0,
+            failures: 0,
+            ejected_until: Timestamp::default(),
+            full_until: Timestamp::default(),
+            relative_pace: 1.0,
+            paced_at: Timestamp::default(),
+        }
+    }
+}
+
+impl Observed {
+    fn pace(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.paced_at).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
+        1.0 + (self.relative_pace - 1.0) * 0.5_f64.powf(age)
+    }
+
+    fn is_left_out(&self, now: Timestamp) -> bool {
+        self.ejected_until > now || self.full_until > now
+    }
+}
+
+/// Usual pace of a pool, from all its endpoints.
+#[derive(Clone, Copy, Debug)]
+struct UsualPace {
+    micros: f64,
+}
+
+/// Why an endpoint was chosen, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChoiceReason {
+    /// Requests of this instance that the endpoint had in progress.
+    pub in_flight: u32,
+    /// Its pace relative to the usual one.
+    pub relative_pace: f64,
+    /// Endpoints that were considered.
+    pub candidates: usize,
+    /// No endpoint was free of failures, so one that is left out was taken.
+    pub forced: bool,
+}
+
+/// What a choice is made for.
+pub struct Query<'a> {
+    /// Pool that serves the request.
+    pub pool: &'a PoolId,
+    /// Endpoints that were tried.
+    pub tried: &'a [EndpointId],
+    /// Endpoint that has the prompt cached.
+    pub affinity: Option<&'a EndpointId>,
+    /// Most requests in progress at an endpoint; further ones are kept back.
+    pub max_in_flight: Option<u32>,
+    /// Whether an endpoint that is left out may be taken if there is no other.
+    pub may_force: bool,
+}
+
+/// Observations of all endpoints.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    availability_zone: AvailabilityZone,
+    observed: IndexMap<EndpointId, Observed>,
+    usual: IndexMap<PoolId, UsualPace>,
+}
+
+impl Fleet {
+    /// Returns a fleet without observations, seen from an availability zone.
+    #[must_use]
+    pub fn new(availability_zone: AvailabilityZone) -> Self {
+        Self {
+            availability_zone,
+            observed: IndexMap::new(),
+            usual: IndexMap::new(),
+        }
+    }
+
+    /// Forgets an endpoint that is gone or started again.
+    pub fn forget(&mut self, endpoint: &EndpointId) {
+        self.observed.shift_remove(endpoint);
+    }
+
+    /// Returns the requests of this instance that an endpoint has in progress.
+    #[must_use]
+    pub fn in_flight(&self, endpoint: &EndpointId) -> u32 {
+        self.observed.get(endpoint).map_or(0, |seen| seen.in_flight)
+    }
+
+    /// Counts a request that is sent.
+    pub fn started(&mut self, endpoint: &EndpointId) {
+        self.entry(endpoint).in_flight += 1;
+    }
+
+    /// Counts a request that ended.
+    pub fn ended(&mut self, endpoint: &EndpointId) {
+        let seen = self.entry(endpoint);
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+    }
+
+    /// Takes the time that an endpoint needed for a unit of work.
+    pub fn note_pace(
+        &mut self,
+        now: Timestamp,
+        pool: &PoolId,
+        endpoint: &EndpointId,
+        taken: Duration,
+    ) {
+        let micros = taken.as_secs_f64() * 1e6;
+        let usual = self.usual.entry(pool.clone()).or_insert(UsualPace { micros });
+        // Slow endpoints move the usual pace less than fast ones, so it stays that of sound ones.
+        let weight = if micros > usual.micros { 0.01 } else { 0.1 };
+        usual.micros += (micros - usual.micros) * weight;
+        let relative = micros / usual.micros.max(1.0);
+        let seen = self.entry(endpoint);
+        let before = seen.pace(now);
+        seen.relative_pace = before + (relative - before) * PACE_WEIGHT;
+        seen.paced_at = now;
+    }
+
+    /// Counts a success, which ends an endpoint's ejection.
+    pub fn note_success(&mut self, endpoint: &EndpointId) {
+        let seen = self.entry(endpoint);
+        seen.failures = 0;
+        seen.ejected_until = Timestamp::default();
+    }
+
+    /// Counts a failure; several in a row leave the endpoint out for a while.
+    pub fn note_failure(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        let seen = self.entry(endpoint);
+        seen.failures = seen.failures.saturating_add(1);
+        if seen.failures >= FAILURES_TO_EJECT {
+            let doublings = (seen.failures - FAILURES_TO_EJECT).min(8);
+            let time = FIRST_EJECTION.saturating_mul(1 << doublings);
+            seen.ejected_until = now + time.min(MAX_EJECTION);
+        }
+    }
+
+    /// Leaves out an endpoint that can't be reached at all.
+    pub fn note_unreachable(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        let seen = self.entry(endpoint);
+        seen.failures = seen.failures.max(FAILURES_TO_EJECT - 1);
+        self.note_failure(now, endpoint);
+    }
+
+    /// Leaves out an endpoint that refused as full.
+    pub fn note_full(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        self.entry(endpoint).full_until = now + FULL_BACKOFF;
+    }
+
+    /// Returns the pace of an endpoint relative to the usual one of its pool.
+    #[must_use]
+    pub fn relative_pace(&self, now: Timestamp, endpoint: &EndpointId) -> f64 {
+        self.observed.get(endpoint).map_or(1.0, |seen| seen.pace(now))
+    }
+
+    /// Returns the usual time that a unit of work takes in a pool.
+    #[must_use]
+    pub fn usual_pace(&self, pool: &PoolId) -> Option<Duration> {
+        let usual = self.usual.get(pool)?;
+        Some(Duration::from_secs_f64(usual.micros / 1e6))
+    }
+
+    /// Chooses the endpoint with the least expected wait.
+    ///
+    /// `idle_connections` tells how many open connections to an endpoint are free, `accepts` which
+    /// endpoints may serve the request at all.
+    pub fn choose<'a>(
+        &self,
+        now: Timestamp,
+        table: &'a EndpointTable,
+        query: &Query<'_>,
+        idle_connections: impl Fn(&EndpointId) -> usize,
+        accepts: impl Fn(&Endpoint) -> bool,
+    ) -> Option<(&'a Endpoint, ChoiceReason)> {
+        let candidates: Vec<&Endpoint> = table
+            .iter()
+            .filter(|endpoint| endpoint.pool == *query.pool && !endpoint.leaving)
+            .filter(|endpoint| !query.tried.contains(&endpoint.id))
+            .filter(|endpoint| accepts(endpoint))
+            .filter(|endpoint| self.has_room(endpoint, query))
+            .collect();
+        let is_sound = |endpoint: &&&Endpoint| {
+            let seen = self.observed.get(&endpoint.id);
+            seen.is_none_or(|seen| !seen.is_left_out(now))
+        };
+        let cost = |endpoint: &Endpoint| self.cost(now, endpoint, idle_connections(&endpoint.id));
+        let by_cost = |a: &&&Endpoint, b: &&&Endpoint| cost(a).total_cmp(&cost(b));
+        let mut forced = false;
+        let mut chosen = candidates.iter().filter(is_sound).min_by(by_cost);
+        if let Some(cached) = query.affinity {
+            let cached = candidates.iter().filter(is_sound).find(|e| e.id == *cached);
+            let cached = cached.filter(|e| self.relative_pace(now, &e.id) < MAX_AFFINITY_PACE);
+            chosen = cached.or(chosen);
+        }
+        if chosen.is_none() && query.may_force {
+            forced = true;
+            chosen = candidates.iter().min_by_key(|endpoint| {
+                let seen = self.observed.get(&endpoint.id);
+                seen.map(|seen| seen.ejected_until.max(seen.full_until))
+            });
+        }
+        let endpoint = chosen?;
+        let reason = ChoiceReason {
+            in_flight: self.in_flight(&endpoint.id),
+            relative_pace: self.relative_pace(now, &endpoint.id),
+            candidates: candidates.len(),
+            forced,
+        };
+        Some((endpoint, reason))
+    }
+
+    fn has_room(&self, endpoint: &Endpoint, query: &Query<'_>) -> bool {
+        let max = query.max_in_flight;
+        max.is_none_or(|max| self.in_flight(&endpoint.id) < max)
+    }
+
+    fn cost(&self, now: Timestamp, endpoint: &Endpoint, idle_connections: usize) -> f64 {
+        let in_flight = f64::from(self.in_flight(&endpoint.id));
+        let slots = f64::from(endpoint.slots.max(1));
+        let mut cost = self.relative_pace(now, &endpoint.id) * (1.0 + in_flight / slots);
+        if endpoint.availability_zone != self.availability_zone {
+            cost += CROSS_ZONE_COST;
+        }
+        if idle_connections == 0 {
+            cost += NEW_CONNECTION_COST;
+        }
+        cost
+    }
+
+    fn entry(&mut self, endpoint: &EndpointId) -> &mut Observed {
+        if !self.observed.contains_key(endpoint) {
+            self.observed.insert(endpoint.clone(), Observed::default());
+        }
+        &mut self.observed[endpoint]
+    }
+}
--- /dev/null
+++ b/wisteriaford_core/src/gateway/job_fold.rs
@@ -0,0 +1,269 @@
+//! Fold of the log into batch jobs and their results.
+//!
+//! The state after an offset depends on the records up to it alone, so all instances list the
+//! same results at the same positions. The first acceptance of a batch job in log order counts,
+//! and the first result of each item.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+
+use crate::gateway::job::ItemResult;
+use crate::gateway::job::ItemSpec;
+use crate::gateway::job::JobSpec;
+use crate::gateway::record;
+use crate::gateway::record::JobRecord;
+use crate::gateway::record::RecordError;
+use crate::id::ItemId;
+use crate::id::JobId;
+use crate::id::Offset;
+
+/// Submissions without an acceptance that are kept; the oldest yield.
+const MAX_OPEN_SUBMISSIONS: usize = 256;
+
+/// Batch job as the log tells it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// As it was submitted.
+    pub spec: Arc<JobSpec>,
+    /// Its submitter ended it.
+    pub ended: bool,
+    /// Failures of items at endpoints.
+    pub failures: IndexMap<ItemId, u32>,
+    results: Vec<Arc<ItemResult>>,
+    positions: IndexMap<ItemId, usize>,
+    items: IndexMap<ItemId, Arc<ItemSpec>>,
+    keys: Vec<CompactString>,
+}
+
+impl Job {
+    /// Returns the results from a position on.
+    #[must_use]
+    pub fn results_from(&self, position: usize) -> &[Arc<ItemResult>] {
+        self.results.get(position..).unwrap_or_default()
+    }
+
+    /// Returns the result of an item, if it is listed.
+    #[must_use]
+    pub fn result_of(&self, item: &ItemId) -> Option<&Arc<ItemResult>> {
+        self.results.get(*self.positions.get(item)?)
+    }
+
+    /// Returns the number of results.
+    #[must_use]
+    pub fn listed(&self) -> usize {
+        self.results.len()
+    }
+
+    /// Returns whether every item has a result.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.results.len() >= self.spec.items.len()
+    }
+
+    /// Returns an item by name.
+    #[must_use]
+    pub fn item(&self, item: &ItemId) -> Option<&Arc<ItemSpec>> {
+        self.items.get(item)
+    }
+
+    /// Returns the keys of all records of the batch job.
+    #[must_use]
+    pub fn keys(&self) -> &[CompactString] {
+        &self.keys
+    }
+}
+
+/// What a record changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum JobChange {
+    /// A batch job was accepted.
+    Accepted(JobId),
+    /// A batch job was accepted before; this record changes nothing.
+    Repeated(JobId),
+    /// Results were listed.
+    Listed(JobId, Vec<ItemId>),
+    /// A batch job was ended.
+    Ended(JobId),
+    /// An endpoint failed an item.
+    Failed(JobId, ItemId),
+    /// A batch job was deleted from the log.
+    Deleted(JobId),
+    /// Nothing that can be seen from outside.
+    Nothing,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Submission {
+    items: Vec<Arc<ItemSpec>>,
+    keys: Vec<CompactString>,
+}
+
+/// Batch jobs by name, folded from the log.
+#[derive(Clone, Debug, Default)]
+pub struct JobFold {
+    jobs: IndexMap<JobId, Job>,
+    submissions: IndexMap<CompactString, Submission>,
+    next_offset: Offset,
+}
+
+impl JobFold {
+    /// Returns a batch job by name.
+    #[must_use]
+    pub fn get(&self, job: &JobId) -> Option<&Job> {
+        self.jobs.get(job)
+    }
+
+    /// Returns all batch jobs in the order of their acceptance.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    /// Returns the number of batch jobs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns whether there are no batch jobs.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Takes the record at an offset; records that were taken before change nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a record that can't be decoded; it is skipped.
+    pub fn apply(
+        &mut self,
+        offset: Offset,
+        key: &str,
+        value: Option<&[u8]>,
+    ) -> Result<JobChange, RecordError> {
+        if offset < self.next_offset {
+            return Ok(JobChange::Nothing);
+        }
+        self.next_offset = offset.next();
+        let Some(value) = value else {
+            return Ok(self.delete(key));
+        };
+        Ok(match record::decode(value)? {
+            JobRecord::Items { submission, items } => self.add_items(key, submission, items),
+            JobRecord::Accepted {
+                submission,
+                job,
+                total_items,
+            } => self.accept(key, &submission, job, total_items),
+            JobRecord::Results { job, results } => self.list(key, &job, results),
+            JobRecord::Ended { job } => self.end(key, &job),
+            JobRecord::Failed {
+                job,
+                item,
+                failures,
+            } => self.count_failure(key, &job, item, failures),
+        })
+    }
+
+    fn add_items(
+        &mut self,
+        key: &str,
+        submission: CompactString,
+        items: Vec<Arc<ItemSpec>>,
+    ) -> JobChange {
+        if self.submissions.len() >= MAX_OPEN_SUBMISSIONS {
+            self.submissions.shift_remove_index(0);
+        }
+        let open = self.submissions.entry(submission).or_default();
+        open.items.extend(items);
+        open.keys.push(key.into());
+        JobChange::Nothing
+    }
+
+    fn accept(
+        &mut self,
+        key: &str,
+        submission: &str,
+        mut spec: JobSpec,
+        total_items: usize,
+    ) -> JobChange {
+        let open = self.submissions.shift_remove(submission);
+        let Submission { items, mut keys } = open.unwrap_or_default();
+        if items.len() != total_items {
+            return JobChange::Nothing;
+        }
+        keys.push(key.into());
+        if let Some(job) = self.jobs.get_mut(&spec.id) {
+            job.keys.extend(keys);
+            return JobChange::Repeated(spec.id);
+        }
+        spec.items = items;
+        let by_name = spec.items.iter();
+        let by_name = by_name.map(|item| (item.id.clone(), Arc::clone(item)));
+        let by_name: IndexMap<_, _> = by_name.collect();
+        let id = spec.id.clone();
+        let job = Job {
+            spec: Arc::new(spec),
+            ended: false,
+            failures: IndexMap::new(),
+            results: Vec::new(),
+            positions: IndexMap::new(),
+            items: by_name,
+            keys,
+        };
+        self.jobs.insert(id.clone(), job);
+        JobChange::Accepted(id)
+    }
+
+    fn list(&mut self, key: &str, id: &JobId, results: Vec<ItemResult>) -> JobChange {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return JobChange::Nothing;
+        };
+        job.keys.push(key.into());
+        let mut listed = Vec::with_capacity(results.len());
+        for result in results {
+            let is_new = !job.positions.contains_key(&result.item);
+            if !is_new || job.item(&result.item).is_none() {
+                continue;
+            }
+            let position = job.results.len();
+            job.positions.insert(result.item.clone(), position);
+            listed.push(result.item.clone());
+            job.results.push(Arc::new(result));
+        }
+        JobChange::Listed(id.clone(), listed)
+    }
+
+    fn end(&mut self, key: &str, id: &JobId) -> JobChange {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return JobChange::Nothing;
+        };
+        job.keys.push(key.into());
+        job.ended = true;
+        JobChange::Ended(id.clone())
+    }
+
+    fn count_failure(&mut self, key: &str, id: &JobId, item: ItemId, failures: u32) -> JobChange {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return JobChange::Nothing;
+        };
+        job.keys.push(key.into());
+        let known = job.failures.entry(item.clone()).or_default();
+        *known = failures.max(*known);
+        JobChange::Failed(id.clone(), item)
+    }
+
+    fn delete(&mut self, key: &str) -> JobChange {
+        let name = key.strip_prefix("job/").and_then(|rest| rest.rsplit_once('/'));
+        let Some((id, _submission)) = name else {
+            return JobChange::Nothing;
+        };
+        let id = JobId::from(id);
+        match self.jobs.shift_remove(&id) {
+            Some(_) => JobChange::Deleted(id),
+            None => JobChange::Nothing,
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -0,0 +1,508 @@
+//! Running the items of batch jobs: which starts next, and at which engine.
+//!
+//! Items of carried groups come first, as the submitter lists them first. Within a batch job,
+//! groups whose items are expected to take long start before short ones. An item goes to the
+//! engine that ran its group, bounded by load. A stream that breaks goes on at another engine
+//! after its last whole event.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+
+use crate::gateway::endpoint::Endpoint;
+use crate::gateway::endpoint::EndpointTable;
+use crate::gateway::fleet::ChoiceReason;
+use crate::gateway::fleet::Fleet;
+use crate::gateway::fleet::Query;
+use crate::gateway::job::ItemResult;
+use crate::gateway::job::ItemSpec;
+use crate::gateway::job::ItemState;
+use crate::gateway::job::JobSpec;
+use crate::gateway::job_fold::Job;
+use crate::gateway::route::Route;
+use crate::gateway::route::RouteTable;
+use crate::id::EndpointId;
+use crate::id::GroupId;
+use crate::id::ItemId;
+use crate::id::JobId;
+use crate::id::Version;
+use crate::time::Timestamp;
+
+/// Wait before an item is sent again after a run that broke.
+const RETRY_BACKOFF: Duration = Duration::from_millis(50);
+/// Wait before an item is sent again after an engine refused it as full.
+const FULL_BACKOFF: Duration = Duration::from_millis(30);
+/// Unfinished items of ended batch jobs whose progress is kept for a later batch job.
+const MAX_CARRIED: usize = 1_024;
+
+/// Number of a run of an item, unique within this instance.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RunNumber(pub u64);
+
+/// Output of an item so far.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Progress {
+    /// Data of the whole events in order.
+    pub events: Vec<CompactString>,
+    /// Id of the last whole event.
+    pub last_event: Option<u64>,
+    /// Versions of the weights that generated an event.
+    pub versions: Vec<Version>,
+}
+
+impl Progress {
+    fn text(&self) -> String {
+        self.events.join("\n")
+    }
+
+    fn note_version(&mut self, version: Version) {
+        if !self.versions.contains(&version) {
+            self.versions.push(version);
+        }
+    }
+}
+
+/// Run of an item that is to be started.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Batch job of the item.
+    pub job: Arc<JobSpec>,
+    /// The item.
+    pub item: Arc<ItemSpec>,
+    /// Number of the run.
+    pub run: RunNumber,
+    /// Engine that runs it.
+    pub endpoint: Endpoint,
+    /// Event after which it goes on.
+    pub after_event: Option<u64>,
+    /// Oldest version that may generate it.
+    pub min_version: Version,
+    /// Version that must generate it, if it must be the one that generated the events before.
+    pub exact_version: Option<Version>,
+    /// Time left until the item is given up.
+    pub time_left: Duration,
+    /// Why the engine was chosen.
+    pub reason: ChoiceReason,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunOutcome {
+    /// The stream ended whole.
+    Completed,
+    /// The engine refused it as full; it did not run.
+    Full,
+    /// The engine refused it for another reason; it did not run.
+    NotRun,
+    /// The engine has another version of the weights than is allowed.
+    WrongVersion,
+    /// The engine failed it.
+    Failed,
+    /// The item can never be done.
+    Impossible,
+    /// The stream broke.
+    Broken,
+    /// The engine can't be reached.
+    Unreachable,
+    /// The stream was silent for too long.
+    Silent,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum ItemPhase {
+    Waiting { not_before: Timestamp },
+    Running { run: RunNumber, endpoint: EndpointId },
+    Done,
+}
+
+#[derive(Clone, Debug)]
+struct ItemRun {
+    spec: Arc<ItemSpec>,
+    phase: ItemPhase,
+    progress: Progress,
+    failures: u32,
+    last_endpoint: Option<EndpointId>,
+}
+
+#[derive(Clone, Debug)]
+struct ActiveJob {
+    spec: Arc<JobSpec>,
+    items: IndexMap<ItemId, ItemRun>,
+    /// Order in which items start.
+    order: Vec<ItemId>,
+    group_endpoints: IndexMap<GroupId, EndpointId>,
+}
+
+/// Item that ended, to be listed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finished {
+    /// Batch job of the item.
+    pub job: JobId,
+    /// Its result.
+    pub result: ItemResult,
+}
+
+/// What a run's end led to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// The item has a result.
+    Finished(Finished),
+    /// The item waits for another run.
+    Waits {
+        /// Failures at engines so far.
+        failures: u32,
+    },
+    /// The run was given up before.
+    Stale,
+}
+
+/// Items of all open batch jobs.
+#[derive(Clone, Debug, Default)]
+pub struct Schedule {
+    jobs: IndexMap<JobId, ActiveJob>,
+    carried: IndexMap<ItemId, (Arc<ItemSpec>, Progress)>,
+    last_run: u64,
+}
+
+impl Schedule {
+    /// Takes a batch job that is open, with the items that are listed already left out.
+    pub fn open(&mut self, job: &Job, reusable: impl Fn(&ItemSpec) -> Option<Progress>) {
+        if self.jobs.contains_key(&job.spec.id) {
+            return;
+        }
+        let mut items = IndexMap::new();
+        for spec in &job.spec.items {
+            if job.result_of(&spec.id).is_some() {
+                continue;
+            }
+            let kept = self.carried.shift_remove(&spec.id);
+            let kept = kept.filter(|(before, _)| is_same_work(before, spec));
+            let progress = kept.map(|(_, progress)| progress).or_else(|| reusable(spec));
+            let min_version = job.spec.min_version;
+            let progress = progress.filter(|p| p.versions.iter().all(|v| *v >= min_version));
+            let run = ItemRun {
+                spec: Arc::clone(spec),
+                phase: ItemPhase::Waiting {
+                    not_before: Timestamp::default(),
+                },
+                progress: progress.unwrap_or_default(),
+                failures: job.failures.get(&spec.id).copied().unwrap_or(0),
+                last_endpoint: None,
+            };
+            items.insert(spec.id.clone(), run);
+        }
+        let order = start_order(&job.spec.items, &items);
+        let active = ActiveJob {
+            spec: Arc::clone(&job.spec),
+            items,
+            order,
+            group_endpoints: IndexMap::new(),
+        };
+        self.jobs.insert(job.spec.id.clone(), active);
+    }
+
+    /// Closes a batch job and keeps the progress of its unfinished items; returns the runs to stop.
+    pub fn close(&mut self, job: &JobId) -> Vec<RunNumber> {
+        let Some(active) = self.jobs.shift_remove(job) else {
+            return Vec::new();
+        };
+        let mut running = Vec::new();
+        for (id, item) in active.items {
+            if let ItemPhase::Running { run, .. } = item.phase {
+                running.push(run);
+            }
+            if item.phase != ItemPhase::Done && item.progress.last_event.is_some() {
+                if self.carried.len() >= MAX_CARRIED {
+                    self.carried.shift_remove_index(0);
+                }
+                self.carried.insert(id, (item.spec, item.progress));
+            }
+        }
+        running
+    }
+
+    /// Closes all batch jobs; returns the runs to stop.
+    pub fn close_all(&mut self) -> Vec<RunNumber> {
+        let jobs: Vec<_> = self.jobs.keys().cloned().collect();
+        jobs.iter().flat_map(|job| self.close(job)).collect()
+    }
+
+    /// Takes an item that is listed; returns the run to stop, if it still runs.
+    pub fn listed(&mut self, job: &JobId, item: &ItemId) -> Option<RunNumber> {
+        let run = self.jobs.get_mut(job)?.items.get_mut(item)?;
+        let running = match run.phase {
+            ItemPhase::Running { run, .. } => Some(run),
+            ItemPhase::Waiting { .. } | ItemPhase::Done => None,
+        };
+        run.phase = ItemPhase::Done;
+        run.progress = Progress::default();
+        running
+    }
+
+    /// Returns whether a batch job is open here.
+    #[must_use]
+    pub fn is_open(&self, job: &JobId) -> bool {
+        self.jobs.contains_key(job)
+    }
+
+    /// Returns the names of the open batch jobs.
+    pub fn open_jobs(&self) -> impl Iterator<Item = &JobId> {
+        self.jobs.keys()
+    }
+
+    /// Returns the number of items that wait for an engine.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        let items = self.jobs.values().flat_map(|job| job.items.values());
+        let waiting = items.filter(|item| matches!(item.phase, ItemPhase::Waiting { .. }));
+        waiting.count()
+    }
+
+    /// Returns the oldest version that an open batch job of a model takes.
+    #[must_use]
+    pub fn oldest_needed(&self, model: &crate::id::ModelId) -> Version {
+        let jobs = self.jobs.values().map(|job| &job.spec);
+        let jobs = jobs.filter(|spec| spec.model.as_ref() == Some(model));
+        jobs.map(|spec| spec.min_version).min().unwrap_or_default()
+    }
+
+    /// Chooses the items to start now and marks them as running.
+    pub fn next_starts(
+        &mut self,
+        now: Timestamp,
+        unix_ms: u64,
+        routes: &RouteTable,
+        endpoints: &EndpointTable,
+        fleet: &mut Fleet,
+        accepts: impl Fn(&Endpoint, &JobSpec, Option<Version>) -> bool,
+    ) -> Vec<Start> {
+        let mut starts = Vec::new();
+        for active in self.jobs.values_mut() {
+            let order = std::mem::take(&mut active.order);
+            for id in &order {
+                let Some(item) = active.items.get_mut(id) else {
+                    continue;
+                };
+                let ItemPhase::Waiting { not_before } = item.phase else {
+                    continue;
+                };
+                if not_before > now {
+                    continue;
+                }
+                let Some(route) = routes.find(&active.spec.host, &item.spec.path) else {
+                    continue;
+                };
+                let Some(time_left) = time_left(&active.spec, route, unix_ms) else {
+                    continue;
+                };
+                let exact = exact_version(route, item);
+                let job = &active.spec;
+                let admits = |endpoint: &Endpoint| accepts(endpoint, job, exact);
+                let group = item.spec.group.as_ref();
+                let affinity = group.and_then(|group| active.group_endpoints.get(group));
+                let chosen = choose(now, routes, route, endpoints, fleet, item, affinity, admits);
+                let Some((endpoint, reason)) = chosen else {
+                    continue;
+                };
+                self.last_run += 1;
+                let run = RunNumber(self.last_run);
+                item.phase = ItemPhase::Running {
+                    run,
+                    endpoint: endpoint.id.clone(),
+                };
+                item.last_endpoint = Some(endpoint.id.clone());
+                fleet.started(&endpoint.id);
+                if let Some(group) = group {
+                    let kept = active.group_endpoints.entry(group.clone());
+                    kept.or_insert_with(|| endpoint.id.clone());
+                }
+                starts.push(Start {
+                    job: Arc::clone(&active.spec),
+                    item: Arc::clone(&item.spec),
+                    run,
+                    endpoint: endpoint.clone(),
+                    after_event: item.progress.last_event,
+                    min_version: active.spec.min_version,
+                    exact_version: exact,
+                    time_left,
+                    reason,
+                });
+            }
+            active.order = order;
+        }
+        starts
+    }
+
+    /// Takes an event of a run; returns whether the run still counts.
+    pub fn event(
+        &mut self,
+        start: &Start,
+        event_id: u64,
+        data: CompactString,
+        version: Option<Version>,
+    ) -> bool {
+        let Some(item) = self.running(start) else {
+            return false;
+        };
+        if item.progress.last_event.is_some_and(|last| event_id <= last) {
+            return true;
+        }
+        item.progress.events.push(data);
+        item.progress.last_event = Some(event_id);
+        if let Some(version) = version {
+            item.progress.note_version(version);
+        }
+        true
+    }
+
+    /// Takes the end of a run.
+    pub fn ended(
+        &mut self,
+        now: Timestamp,
+        start: &Start,
+        outcome: RunOutcome,
+        max_failures: u32,
+    ) -> RunEnd {
+        let Some(item) = self.running(start) else {
+            return RunEnd::Stale;
+        };
+        let backoff = match outcome {
+            RunOutcome::Completed => return finish(start, item, ItemState::Completed),
+            RunOutcome::Impossible => return finish(start, item, ItemState::Abandoned),
+            RunOutcome::Failed => {
+                item.failures += 1;
+                if item.failures >= max_failures {
+                    return finish(start, item, ItemState::Abandoned);
+                }
+                RETRY_BACKOFF
+            }
+            RunOutcome::Full | RunOutcome::NotRun | RunOutcome::WrongVersion => FULL_BACKOFF,
+            RunOutcome::Broken | RunOutcome::Unreachable | RunOutcome::Silent => RETRY_BACKOFF,
+        };
+        item.phase = ItemPhase::Waiting {
+            not_before: now + backoff,
+        };
+        let failures = item.failures;
+        if let (Some(group), Some(active)) =
+            (start.item.group.as_ref(), self.jobs.get_mut(&start.job.id))
+        {
+            let kept = active.group_endpoints.get(group);
+            if kept == Some(&start.endpoint.id) {
+                active.group_endpoints.shift_remove(group);
+            }
+        }
+        RunEnd::Waits { failures }
+    }
+
+    /// Gives up the items whose time is over or whose route is gone.
+    pub fn give_up(&mut self, unix_ms: u64, routes: &RouteTable) -> Vec<Finished> {
+        let mut finished = Vec::new();
+        for active in self.jobs.values_mut() {
+            let spec = &active.spec;
+            for item in active.items.values_mut() {
+                if item.phase == ItemPhase::Done {
+                    continue;
+                }
+                let route = routes.find(&spec.host, &item.spec.path);
+                if route.is_some_and(|route| time_left(spec, route, unix_ms).is_some()) {
+                    continue;
+                }
+                item.phase = ItemPhase::Done;
+                finished.push(Finished {
+                    job: spec.id.clone(),
+                    result: ItemResult {
+                        item: item.spec.id.clone(),
+                        state: ItemState::Abandoned,
+                        text: String::new(),
+                        versions: Vec::new(),
+                    },
+                });
+            }
+        }
+        finished
+    }
+
+    fn running(&mut self, start: &Start) -> Option<&mut ItemRun> {
+        let item = self.jobs.get_mut(&start.job.id)?;
+        let item = item.items.get_mut(&start.item.id)?;
+        let is_current = matches!(item.phase, ItemPhase::Running { run, .. } if run == start.run);
+        is_current.then_some(item)
+    }
+}
+
+fn finish(start: &Start, item: &mut ItemRun, state: ItemState) -> RunEnd {
+    item.phase = ItemPhase::Done;
+    let progress = std::mem::take(&mut item.progress);
+    let is_complete = state == ItemState::Completed;
+    let text = if is_complete { progress.text() } else { String::new() };
+    let versions = if is_complete { progress.versions } else { Vec::new() };
+    RunEnd::Finished(Finished {
+        job: start.job.id.clone(),
+        result: ItemResult {
+            item: start.item.id.clone(),
+            state,
+            text,
+            versions,
+        },
+    })
+}
+
+/// Returns whether an item of another batch job asks for the same output.
+fn is_same_work(before: &ItemSpec, now: &ItemSpec) -> bool {
+    before.path == now.path && before.body == now.body && before.headers == now.headers
+}
+
+/// Returns the time until an item is given up, or `None` if it is over.
+fn time_left(job: &JobSpec, route: &Route, unix_ms: u64) -> Option<Duration> {
+    let retention = route.retention.unwrap_or(Duration::MAX);
+    let age = Duration::from_millis(unix_ms.saturating_sub(job.submitted_unix_ms));
+    retention.checked_sub(age).filter(|left| !left.is_zero())
+}
+
+/// Returns the version that must go on with an item, where all events must have the same one.
+fn exact_version(route: &Route, item: &ItemRun) -> Option<Version> {
+    let single = route.single_version && item.progress.last_event.is_some();
+    item.progress.versions.first().copied().filter(|_| single)
+}
+
+#[allow(clippy::too_many_arguments)]
+fn choose<'a>(
+    now: Timestamp,
+    routes: &RouteTable,
+    route: &Route,
+    endpoints: &'a EndpointTable,
+    fleet: &Fleet,
+    item: &ItemRun,
+    affinity: Option<&EndpointId>,
+    accepts: impl Fn(&Endpoint) -> bool,
+) -> Option<(&'a Endpoint, ChoiceReason)> {
+    let pool = route.pool_for(item.spec.id.as_str())?;
+    let engine = routes.pools.get(pool).and_then(|pool| pool.engine.as_ref());
+    let query = Query {
+        pool,
+        tried: &[],
+        affinity,
+        max_in_flight: engine.map(|engine| engine.slots),
+        may_force: false,
+    };
+    fleet.choose(now, endpoints, &query, |_| 1, accepts)
+}
+
+/// Orders items by their group's longest expected output; carried groups keep their place in front.
+fn start_order(specs: &[Arc<ItemSpec>], items: &IndexMap<ItemId, ItemRun>) -> Vec<ItemId> {
+    let mut longest: IndexMap<Option<&GroupId>, u64> = IndexMap::new();
+    for spec in specs {
+        let expected = longest.entry(spec.group.as_ref()).or_default();
+        *expected = (*expected).max(spec.expected_output_tokens);
+    }
+    let mut order: Vec<&Arc<ItemSpec>> = specs.iter().collect();
+    order.retain(|spec| items.contains_key(&spec.id));
+    order.sort_by_key(|spec| {
+        let is_carried = items.get(&spec.id).is_some_and(|i| i.progress.last_event.is_some());
+        let expected = longest.get(&spec.group.as_ref()).copied().unwrap_or(0);
+        (!is_carried, std::cmp::Reverse(expected))
+    });
+    order.into_iter().map(|spec| spec.id.clone()).collect()
+}
--- a/wisteriaford_core/src/id.rs
+++ b/wisteriaford_core/src/id.rs
@@ -141,6 +141,19 @@
     ClaimId
 }
 
+text_id! {
+    /// Batch job, as its submitter named it.
+    JobId
+}
+text_id! {
+    /// Item of a batch job.
+    ItemId
+}
+text_id! {
+    /// Group of items that share a prompt.
+    GroupId
+}
+
 macro_rules! number_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
@@ -177,6 +190,10 @@
     /// Fencing number of a lease: the offset of its record.
     Fence
 }
+number_id! {
+    /// Version of a published routing table; 0 is none.
+    TableVersion
+}
 number_id! {
     /// Step of a trainer.
     StepNumber
--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod exchange;
 pub mod explain;
+pub mod gateway;
 mod gossip;
 pub mod hash;
 pub mod id;
--- /dev/null
+++ b/wisteriaford_gateway/src/client.rs
@@ -0,0 +1,213 @@
+//! Calls over HTTP to endpoints and the log.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use derive_more::Display;
+use derive_more::Error;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::border::EndpointRequest;
+use crate::connection_pool::Connection;
+use crate::connection_pool::ConnectionPool;
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum CallError {
+    /// No byte was sent.
+    #[display("can't be reached: {cause}")]
+    Unreachable {
+        /// What was found.
+        cause: CompactString,
+    },
+    /// The call may have had its effect.
+    #[display("answer lost: {cause}")]
+    Lost {
+        /// What was found.
+        cause: CompactString,
+    },
+    /// No answer came in time; the call may have had its effect.
+    #[display("no answer in time")]
+    Timeout,
+}
+
+impl CallError {
+    pub(crate) fn unreachable(cause: impl std::fmt::Display) -> Self {
+        let cause = format_compact!("{cause}");
+        Self::Unreachable { cause }
+    }
+
+    pub(crate) fn lost(cause: impl std::fmt::Display) -> Self {
+        let cause = format_compact!("{cause}");
+        Self::Lost { cause }
+    }
+}
+
+/// Answer that was read whole.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Answer whose body still arrives; dropping it closes the connection.
+pub(crate) struct OpenAnswer {
+    pub(crate) response: Response<Incoming>,
+    connection: Connection,
+    peer: CompactString,
+    address: SocketAddr,
+    pool: Arc<ConnectionPool>,
+}
+
+impl OpenAnswer {
+    /// Keeps the connection for another call; the body must have been read whole.
+    pub(crate) fn keep_connection(self) {
+        let headers = self.response.headers();
+        if closes(headers) {
+            return;
+        }
+        let keep_alive = keep_alive(headers);
+        let Self {
+            connection,
+            peer,
+            address,
+            pool,
+            ..
+        } = self;
+        pool.put(&peer, address, connection, keep_alive);
+    }
+
+    /// Reads the body whole and keeps the connection.
+    pub(crate) async fn read_whole(mut self) -> Result<WholeAnswer, CallError> {
+        let body = self.response.body_mut().collect().await;
+        let body = body.map_err(CallError::lost)?.to_bytes();
+        let status = self.response.status();
+        let headers = self.response.headers().clone();
+        self.keep_connection();
+        Ok(WholeAnswer {
+            status,
+            headers,
+            body,
+        })
+    }
+}
+
+/// Client with connections that are kept for reuse.
+#[derive(Clone, Default)]
+pub struct Client {
+    pool: Arc<ConnectionPool>,
+}
+
+impl Client {
+    /// Sends a request and returns the answer when its head has arrived.
+    ///
+    /// With `fresh`, a connection that was idle isn't used.
+    pub(crate) async fn open(
+        &self,
+        peer: &str,
+        address: SocketAddr,
+        request: EndpointRequest,
+        fresh: bool,
+    ) -> Result<OpenAnswer, CallError> {
+        let mut connection = self.pool.get(peer, address, fresh).await?;
+        let request = build(request, address)?;
+        let sent = connection.sender.try_send_request(request).await;
+        let response = match sent {
+            Ok(response) => response,
+            Err(mut error) => {
+                let never_sent = error.take_message().is_some();
+                let error = error.into_error();
+                return Err(if never_sent {
+                    CallError::unreachable(error)
+                } else {
+                    CallError::lost(error)
+                });
+            }
+        };
+        Ok(OpenAnswer {
+            response,
+            connection,
+            peer: peer.into(),
+            address,
+            pool: Arc::clone(&self.pool),
+        })
+    }
+
+    /// Sends a request and reads its answer whole within a time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer can't be reached or the answer doesn't arrive whole in time.
+    pub async fn call(
+        &self,
+        peer: &str,
+        address: SocketAddr,
+        request: EndpointRequest,
+        timeout: Duration,
+    ) -> Result<WholeAnswer, CallError> {
+        let call = async {
+            let answer = self.open(peer, address, request, false).await?;
+            answer.read_whole().await
+        };
+        match tokio::time::timeout(timeout, call).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::Timeout),
+        }
+    }
+
+    /// Returns the number of idle connections to a peer.
+    pub(crate) fn idle_count(&self, peer: &str, address: SocketAddr) -> usize {
+        self.pool.idle_count(peer, address)
+    }
+
+    /// Closes connections that are no longer of use.
+    pub(crate) fn prune(&self, is_known: impl Fn(&str) -> bool) {
+        self.pool.prune(is_known);
+    }
+}
+
+fn build(request: EndpointRequest, address: SocketAddr) -> Result<Request<Full<Bytes>>, CallError> {
+    let mut built = Request::builder()
+        .method(request.method)
+        .uri(request.path.as_str())
+        .body(Full::new(request.body))
+        .map_err(CallError::unreachable)?;
+    *built.headers_mut() = request.headers;
+    if !built.headers().contains_key(header::HOST) {
+        let host = address.to_string().parse();
+        let host = host.map_err(CallError::unreachable)?;
+        built.headers_mut().insert(header::HOST, host);
+    }
+    Ok(built)
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let connection = headers.get(header::CONNECTION);
+    let text = connection.and_then(|value| value.to_str().ok());
+    text.is_some_and(|text| text.to_ascii_lowercase().contains("close"))
+}
+
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|part| {
+        let (name, value) = part.split_once('=')?;
+        let is_timeout = name.trim().eq_ignore_ascii_case("timeout");
+        is_timeout.then(|| value.trim().parse().ok()).flatten()
+    });
+    seconds.map(Duration::from_secs)
+}
--- /dev/null
+++ b/wisteriaford_gateway/src/forward.rs
@@ -0,0 +1,457 @@
+//! Forwarding of calls to endpoints.
+//!
+//! An idempotent call that isn't answered in the usual time is also sent to a second endpoint; the
+//! first answer wins and the other call is given up. A call that must not run twice is sent again
+//! only where the endpoint proved that it did not run, or no byte was sent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::HeaderMap;
+use http::HeaderName;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http::request::Parts;
+use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::fleet::Query;
+use wisteriaford_core::gateway::route::Route;
+use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::PoolId;
+use wisteriaford_core::time::Timestamp;
+
+use crate::border::AnswerFacts;
+use crate::border::CallerHead;
+use crate::border::EndpointRequest;
+use crate::client::CallError;
+use crate::client::OpenAnswer;
+use crate::clock;
+use crate::refusal::Answer;
+use crate::refusal::Reason;
+use crate::refusal::refuse;
+use crate::refusal::whole;
+use crate::state::Gateway;
+use crate::stream;
+
+/// Time limit of a call whose caller and route name none.
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+/// Multiple of the usual time after which an idempotent call is also sent elsewhere.
+const HEDGE_FACTOR: u32 = 4;
+/// Shortest time after which an idempotent call is also sent elsewhere.
+const MIN_HEDGE: Duration = Duration::from_millis(60);
+/// The same before the usual time of the pool is known.
+const DEFAULT_HEDGE: Duration = Duration::from_millis(250);
+/// Time to come back when endpoints were full or none is known.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+/// Rest of a caller's time that is kept for the answer's way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+
+/// Header fields that concern one connection only.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Call on its way through the gateway.
+pub(crate) struct Call<'a> {
+    pub(crate) head: &'a CallerHead,
+    pub(crate) route: &'a Arc<Route>,
+    pub(crate) pool: &'a PoolId,
+    pub(crate) parts: &'a Parts,
+    pub(crate) body: Bytes,
+    pub(crate) deadline: Timestamp,
+}
+
+/// How one attempt ended.
+pub(crate) enum Attempt {
+    /// The endpoint answered.
+    Answered(Answered),
+    /// The endpoint proved that it did not run the call.
+    NotRun(StatusCode),
+    /// Nothing was sent.
+    Unreachable(CallError),
+    /// The call may have run.
+    Lost(CallError),
+}
+
+/// Answer of an endpoint.
+pub(crate) enum Answered {
+    /// It was read whole.
+    Whole(StatusCode, HeaderMap, Bytes),
+    /// It is a stream of events that still arrives.
+    Stream(OpenAnswer),
+}
+
+impl Answered {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Whole(status, ..) => *status,
+            Self::Stream(answer) => answer.response.status(),
+        }
+    }
+}
+
+/// What is known of a call while it is forwarded.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<EndpointId>,
+    may_have_run: bool,
+    failure: Option<Answered>,
+}
+
+/// Forwards a call and returns its answer.
+pub(crate) async fn forward(
+    gateway: &Arc<Gateway>,
+    head: &CallerHead,
+    route: &Arc<Route>,
+    parts: &Parts,
+    body: Bytes,
+) -> Answer {
+    let arrived = clock::now();
+    let time = [head.time_left, route.timeout].into_iter().flatten().min();
+    let time = time.unwrap_or(DEFAULT_TIME).saturating_sub(ANSWER_MARGIN);
+    let Some(pool) = route.pool_for(head.request.as_str()) else {
+        return refuse(Reason::NoEndpoint, Some(RETRY_AFTER));
+    };
+    let call = Call {
+        head,
+        route,
+        pool,
+        parts,
+        body,
+        deadline: arrived + time,
+    };
+    let mut progress = Progress::default();
+    let raced = tokio::time::timeout(time, race(gateway, &call, &mut progress)).await;
+    let result = raced.unwrap_or(Err(Reason::Deadline));
+    let took = clock::now().since(arrived);
+    gateway.metrics.call_time(took);
+    note(gateway, &call, &progress, &result, took);
+    match result {
+        Ok((endpoint, answered)) => deliver(gateway, &call, endpoint, answered),
+        Err(reason) => {
+            gateway.metrics.refused(reason);
+            let wait = (!progress.may_have_run).then_some(RETRY_AFTER);
+            refuse(reason, wait)
+        }
+    }
+}
+
+fn note(
+    gateway: &Gateway,
+    call: &Call<'_>,
+    progress: &Progress,
+    result: &Result<(Endpoint, Answered), Reason>,
+    took: Duration,
+) {
+    let tried: Vec<&str> = progress.tried.iter().map(EndpointId::as_str).collect();
+    let tried = tried.join(",");
+    let outcome: CompactString = match result {
+        Ok((_, answered)) => compact_str::format_compact!("{}", answered.status().as_u16()),
+        Err(reason) => compact_str::format_compact!("{reason}"),
+    };
+    log::info!(
+        request:% = call.head.request, route:% = call.route.id, pool:% = call.pool,
+        endpoints = tried, outcome:% = outcome, may_have_run = progress.may_have_run,
+        took_ms = took.as_millis(), time_left_ms = call.deadline.since(clock::now()).as_millis(),
+        table = gateway.view.load().routes.version.0;
+        "call ended"
+    );
+}
+
+/// Sends a call until it is answered, to more than one endpoint at a time if it may run twice.
+async fn race(
+    gateway: &Arc<Gateway>,
+    call: &Call<'_>,
+    progress: &mut Progress,
+) -> Result<(Endpoint, Answered), Reason> {
+    let idempotent = call.route.is_idempotent();
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        if attempts.is_empty() {
+            let Some(endpoint) = next_endpoint(gateway, call, progress) else {
+                return give_up(progress);
+            };
+            attempts.push(attempt(gateway, call, endpoint));
+        }
+        let hedge = hedge_after(gateway, call);
+        let may_hedge = idempotent && attempts.len() == 1;
+        tokio::select! {
+            ended = attempts.next() => {
+                let Some((endpoint, outcome)) = ended else { continue };
+                if let Some(answered) = judge(call, progress, &endpoint, outcome)? {
+                    return Ok((endpoint, answered));
+                }
+            }
+            () = tokio::time::sleep(hedge), if may_hedge => {
+                if let Some(endpoint) = next_endpoint(gateway, call, progress) {
+                    gateway.metrics.hedges.add(1, &[]);
+                    attempts.push(attempt(gateway, call, endpoint));
+                } else if let Some((endpoint, outcome)) = attempts.next().await
+                    && let Some(answered) = judge(call, progress, &endpoint, outcome)?
+                {
+                    return Ok((endpoint, answered));
+                }
+            }
+        }
+    }
+}
+
+/// Returns the answer to deliver, if the attempt's outcome decides the call.
+fn judge(
+    call: &Call<'_>,
+    progress: &mut Progress,
+    endpoint: &Endpoint,
+    outcome: Attempt,
+) -> Result<Option<Answered>, Reason> {
+    match outcome {
+        Attempt::Answered(answered) => {
+            let failed = answered.status().is_server_error();
+            progress.may_have_run = true;
+            if !failed || !call.route.is_idempotent() {
+                return Ok(Some(answered));
+            }
+            progress.failure = Some(answered);
+            Ok(None)
+        }
+        Attempt::NotRun(status) => {
+            log::info!(
+                request:% = call.head.request, endpoint:% = endpoint.id, status = status.as_u16();
+                "endpoint refused a call"
+            );
+            Ok(None)
+        }
+        Attempt::Unreachable(error) => {
+            log::info!(
+                request:% = call.head.request, endpoint:% = endpoint.id, error:% = error;
+                "endpoint can't be reached"
+            );
+            Ok(None)
+        }
+        Attempt::Lost(error) => {
+            log::info!(
+                request:% = call.head.request, endpoint:% = endpoint.id, error:% = error;
+                "answer of an endpoint lost"
+            );
+            progress.may_have_run = true;
+            if call.route.is_idempotent() {
+                return Ok(None);
+            }
+            Err(Reason::AnswerLost)
+        }
+    }
+}
+
+/// Returns the final outcome of a call that no further endpoint is asked for.
+fn give_up(progress: &mut Progress) -> Result<(Endpoint, Answered), Reason> {
+    if progress.may_have_run {
+        return Err(Reason::AnswerLost);
+    }
+    Err(if progress.tried.is_empty() {
+        Reason::NoEndpoint
+    } else {
+        Reason::EndpointsFull
+    })
+}
+
+/// Chooses the endpoint of the next attempt, and counts it.
+fn next_endpoint(
+    gateway: &Gateway,
+    call: &Call<'_>,
+    progress: &mut Progress,
+) -> Option<Endpoint> {
+    let max_attempts = usize::try_from(call.route.max_attempts).unwrap_or(usize::MAX);
+    if progress.tried.len() >= max_attempts.max(1) {
+        return None;
+    }
+    let view = gateway.view.load();
+    let query = Query {
+        pool: call.pool,
+        tried: &progress.tried,
+        affinity: None,
+        max_in_flight: None,
+        may_force: true,
+    };
+    let mut fleet = gateway.fleet();
+    let idle = |id: &EndpointId| {
+        let endpoint = view.endpoints.get(id);
+        endpoint.map_or(0, |e| gateway.client.idle_count(id.as_str(), e.address))
+    };
+    let (endpoint, reason) =
+        fleet.choose(clock::now(), &view.endpoints, &query, idle, |_| true)?;
+    fleet.started(&endpoint.id);
+    log::debug!(
+        request:% = call.head.request, endpoint:% = endpoint.id, in_flight = reason.in_flight,
+        relative_pace = reason.relative_pace, candidates = reason.candidates,
+        forced = reason.forced;
+        "endpoint chosen"
+    );
+    progress.tried.push(endpoint.id.clone());
+    Some(endpoint.clone())
+}
+
+fn hedge_after(gateway: &Gateway, call: &Call<'_>) -> Duration {
+    let usual = gateway.fleet().usual_pace(call.pool);
+    usual.map_or(DEFAULT_HEDGE, |usual| (usual * HEDGE_FACTOR).max(MIN_HEDGE))
+}
+
+/// Counts a request at an endpoint until it is dropped.
+pub(crate) struct InFlight {
+    gateway: Arc<Gateway>,
+    endpoint: EndpointId,
+}
+
+impl InFlight {
+    /// Takes over a request that the fleet counts already.
+    pub(crate) fn counted(gateway: &Arc<Gateway>, endpoint: &EndpointId) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            endpoint: endpoint.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.gateway.fleet().ended(&self.endpoint);
+    }
+}
+
+/// Sends a call to an endpoint and takes its answer.
+async fn attempt(
+    gateway: &Arc<Gateway>,
+    call: &Call<'_>,
+    endpoint: Endpoint,
+) -> (Endpoint, Attempt) {
+    let _in_flight = InFlight::counted(gateway, &endpoint.id);
+    let sent = clock::now();
+    let outcome = exchange(gateway, call, &endpoint).await;
+    let now = clock::now();
+    let mut fleet = gateway.fleet();
+    match &outcome {
+        Attempt::Answered(answered) if answered.status().is_server_error() => {
+            fleet.note_failure(now, &endpoint.id);
+        }
+        Attempt::Answered(_) => {
+            fleet.note_success(&endpoint.id);
+            fleet.note_pace(now, call.pool, &endpoint.id, now.since(sent));
+        }
+        Attempt::NotRun(_) => fleet.note_full(now, &endpoint.id),
+        Attempt::Unreachable(_) => fleet.note_unreachable(now, &endpoint.id),
+        Attempt::Lost(_) => fleet.note_failure(now, &endpoint.id),
+    }
+    drop(fleet);
+    (endpoint, outcome)
+}
+
+async fn exchange(gateway: &Gateway, call: &Call<'_>, endpoint: &Endpoint) -> Attempt {
+    let request = request_for(gateway, call, endpoint, None);
+    let fresh = !call.route.is_idempotent();
+    let peer = endpoint.id.as_str();
+    let opened = gateway.client.open(peer, endpoint.address, request, fresh);
+    let answer = match opened.await {
+        Ok(answer) => answer,
+        Err(error @ CallError::Unreachable { .. }) => return Attempt::Unreachable(error),
+        Err(error) => return Attempt::Lost(error),
+    };
+    let facts = facts_of(gateway, &answer);
+    if let Some(fault) = fault_of(call, &facts) {
+        return Attempt::Lost(fault);
+    }
+    if facts.not_run {
+        let status = answer.response.status();
+        // The body of a refusal is of no use, but reading it keeps the connection.
+        drop(answer.read_whole().await);
+        return Attempt::NotRun(status);
+    }
+    if stream::is_event_stream(answer.response.headers()) && answer.response.status().is_success() {
+        return Attempt::Answered(Answered::Stream(answer));
+    }
+    match answer.read_whole().await {
+        Ok(whole) => Attempt::Answered(Answered::Whole(whole.status, whole.headers, whole.body)),
+        Err(error) => Attempt::Lost(error),
+    }
+}
+
+fn facts_of(gateway: &Gateway, answer: &OpenAnswer) -> AnswerFacts {
+    let response = &answer.response;
+    gateway.endpoints.answer(response.status(), response.headers())
+}
+
+/// Returns why an answer can't be the one to this call.
+fn fault_of(call: &Call<'_>, facts: &AnswerFacts) -> Option<CallError> {
+    if facts.request.as_ref().is_some_and(|id| *id != call.head.request) {
+        return Some(CallError::lost("the answer belongs to another request"));
+    }
+    let is_unsigned = !facts.genuine && !facts.not_run;
+    is_unsigned.then(|| CallError::lost("the answer isn't signed by an endpoint"))
+}
+
+/// Returns the request that an endpoint is sent.
+pub(crate) fn request_for(
+    gateway: &Gateway,
+    call: &Call<'_>,
+    endpoint: &Endpoint,
+    after_event: Option<u64>,
+) -> EndpointRequest {
+    let mut headers = call.parts.headers.clone();
+    remove_connection_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let time_left = call.deadline.since(clock::now());
+    let protocol = &gateway.endpoints;
+    protocol.set_call_headers(&mut headers, &endpoint.id, time_left);
+    if let Some(event) = after_event {
+        protocol.set_after_event(&mut headers, event);
+    }
+    let path = call.parts.uri.path_and_query();
+    EndpointRequest {
+        method: call.parts.method.clone(),
+        path: path.map_or("/", |path| path.as_str()).into(),
+        headers,
+        body: call.body.clone(),
+    }
+}
+
+/// Removes the header fields that concern one connection only.
+pub(crate) fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named = headers.get_all(header::CONNECTION).iter();
+    let named = named.filter_map(|value| value.to_str().ok());
+    let named = named.flat_map(|text| text.split(','));
+    let named = named.filter_map(|name| name.trim().parse::<HeaderName>().ok());
+    let named: Vec<HeaderName> = named.collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+}
+
+fn deliver(
+    gateway: &Arc<Gateway>,
+    call: &Call<'_>,
+    endpoint: Endpoint,
+    answered: Answered,
+) -> Answer {
+    match answered {
+        Answered::Whole(status, mut headers, body) => {
+            remove_connection_headers(&mut headers);
+            headers.remove(header::CONTENT_LENGTH);
+            let mut answer = Response::new(whole(body));
+            *answer.status_mut() = status;
+            *answer.headers_mut() = headers;
+            answer
+        }
+        Answered::Stream(open) => stream::deliver(gateway, call, endpoint, open),
+    }
+}
--- /dev/null
+++ b/wisteriaford_gateway/src/lib.rs
@@ -0,0 +1,27 @@
+//! Gateway of the wisteriaford rollout service.
+//!
+//! Turns sockets and a shared log into calls of the decisions in `wisteriaford_core::gateway`, and
+//! their results back. How callers, endpoints and the log speak is up to the traits in [`border`].
+
+pub mod app;
+pub mod border;
+mod caller_jobs;
+pub mod client;
+pub mod clock;
+mod connection_pool;
+mod directory;
+mod duty_task;
+mod event_stream;
+mod follow;
+mod forward;
+mod job_log;
+mod logger;
+mod metrics;
+mod orders;
+mod outbox;
+mod refusal;
+mod runner;
+mod server;
+pub mod settings;
+mod state;
+mod stream;
--- /dev/null
+++ b/wisteriaford_gateway/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Metrics by OpenTelemetry, in the Prometheus text form.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::refusal::Reason;
+
+/// Upper bounds of the latency histograms' buckets, in milliseconds.
+const LATENCY_BOUNDS_MS: [f64; 12] = [
+    5.0, 10.0, 25.0, 50.0, 100.0, 150.0, 250.0, 500.0, 1_000.0, 2_500.0, 5_000.0, 10_000.0,
+];
+
+/// Counters and histograms of a gateway.
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    pub(crate) log_failures: Counter<u64>,
+    pub(crate) skipped_records: Counter<u64>,
+    pub(crate) results_listed: Counter<u64>,
+    pub(crate) hedges: Counter<u64>,
+    pub(crate) orders: Counter<u64>,
+    refusals: Counter<u64>,
+    call_ms: Histogram<f64>,
+    submit_ms: Histogram<f64>,
+    item_ms: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Starts metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't register itself.
+    pub(crate) fn start() -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("wisteriaford");
+        let counter = |name, description| {
+            let builder = meter.u64_counter(name);
+            builder.with_description(description).build()
+        };
+        Ok(Self {
+            log_failures: counter("wisteriaford_log_failures", "Failed calls of the log."),
+            skipped_records: counter("wisteriaford_skipped_records", "Records not understood."),
+            results_listed: counter("wisteriaford_results_listed", "Results added to the log."),
+            hedges: counter("wisteriaford_hedges", "Calls also sent to a second endpoint."),
+            orders: counter("wisteriaford_orders", "Orders to engines."),
+            refusals: counter("wisteriaford_refusals", "Refused or failed requests by reason."),
+            call_ms: histogram(&meter, "wisteriaford_call_ms", "Forwarded calls."),
+            submit_ms: histogram(&meter, "wisteriaford_submit_ms", "Accepting batch jobs."),
+            item_ms: histogram(&meter, "wisteriaford_item_ms", "Runs of items."),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    pub(crate) fn refused(&self, reason: Reason) {
+        let reason = KeyValue::new("reason", reason.to_string());
+        self.refusals.add(1, &[reason]);
+    }
+
+    pub(crate) fn call_time(&self, taken: Duration) {
+        self.call_ms.record(taken.as_secs_f64() * 1e3, &[]);
+    }
+
+    pub(crate) fn submit_time(&self, taken: Duration) {
+        self.submit_ms.record(taken.as_secs_f64() * 1e3, &[]);
+    }
+
+    pub(crate) fn item_time(&self, taken: Duration) {
+        self.item_ms.record(taken.as_secs_f64() * 1e3, &[]);
+    }
+
+    /// Returns all metrics in the Prometheus text form.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!(error:% = error; "metrics can't be encoded");
+        }
+        text
+    }
+}
+
+fn histogram(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(description)
+        .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+        .build()
+}
--- /dev/null
+++ b/wisteriaford_gateway/src/runner.rs
@@ -0,0 +1,338 @@
+//! Running the items of batch jobs, while this instance has the duty.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use indexmap::IndexMap;
+use tokio::task::AbortHandle;
+use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::job::ItemSpec;
+use wisteriaford_core::gateway::job::JobSpec;
+use wisteriaford_core::gateway::record;
+use wisteriaford_core::gateway::schedule::Progress;
+use wisteriaford_core::gateway::schedule::RunEnd;
+use wisteriaford_core::gateway::schedule::RunNumber;
+use wisteriaford_core::gateway::schedule::RunOutcome;
+use wisteriaford_core::gateway::schedule::Start;
+use wisteriaford_core::id::JobId;
+use wisteriaford_core::id::Version;
+
+use crate::client::CallError;
+use crate::client::OpenAnswer;
+use crate::clock;
+use crate::event_stream::EventReader;
+use crate::forward::InFlight;
+use crate::state::Gateway;
+use crate::state::stopped;
+
+/// Longest time between two looks at what could start.
+const TICK: Duration = Duration::from_millis(25);
+/// The same while nothing runs or waits.
+const IDLE_TICK: Duration = Duration::from_millis(500);
+/// Silence of an engine after which an item goes on elsewhere.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// The same while the engine may be loading weights.
+const LOADING_SILENCE: Duration = Duration::from_millis(4_000);
+
+/// Runs in progress, by their number.
+type Runs = IndexMap<RunNumber, AbortHandle>;
+
+/// Runs items until the gateway stops.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut stop = gateway.stop.clone();
+    let mut runs = Runs::new();
+    loop {
+        let tick = if step(&gateway, &mut runs) { TICK } else { IDLE_TICK };
+        tokio::select! {
+            () = gateway.runner_wake.notified() => {}
+            () = tokio::time::sleep(tick) => {}
+            () = stopped(&mut stop) => return,
+        }
+    }
+}
+
+/// Opens, closes and starts what is due; returns whether anything runs or waits.
+fn step(gateway: &Arc<Gateway>, runs: &mut Runs) -> bool {
+    runs.retain(|_, run| !run.is_finished());
+    let is_holder = gateway.duty().held().is_some();
+    if !is_holder {
+        let stopped = gateway.schedule().close_all();
+        stop_runs(runs, &stopped);
+        return false;
+    }
+    sync_jobs(gateway, runs);
+    for finished in give_up(gateway) {
+        log::info!(
+            job:% = finished.job, item:% = finished.result.item; "item given up, its time is over"
+        );
+        gateway.outbox.push(finished);
+    }
+    for start in starts(gateway) {
+        let run = start.run;
+        let task = tokio::spawn(run_item(Arc::clone(gateway), start));
+        runs.insert(run, task.abort_handle());
+    }
+    !runs.is_empty() || gateway.schedule().waiting() > 0
+}
+
+fn stop_runs(runs: &mut Runs, stopped: &[RunNumber]) {
+    for number in stopped {
+        if let Some(run) = runs.swap_remove(number) {
+            run.abort();
+        }
+    }
+}
+
+/// Opens batch jobs that were accepted, and closes those that ended.
+fn sync_jobs(gateway: &Gateway, runs: &mut Runs) {
+    let jobs = gateway.jobs();
+    let mut schedule = gateway.schedule();
+    let closed: Vec<JobId> = schedule
+        .open_jobs()
+        .filter(|id| jobs.get(id).is_none_or(|job| job.ended || job.is_complete()))
+        .cloned()
+        .collect();
+    for id in closed {
+        stop_runs(runs, &schedule.close(&id));
+    }
+    for job in jobs.iter().filter(|job| !job.ended && !job.is_complete()) {
+        if schedule.is_open(&job.spec.id) {
+            continue;
+        }
+        schedule.open(job, |_: &ItemSpec| None::<Progress>);
+        log::info!(
+            job:% = job.spec.id, items = job.spec.items.len(), listed = job.listed(),
+            min_version = job.spec.min_version.0;
+            "batch job opened for running"
+        );
+    }
+}
+
+fn give_up(gateway: &Gateway) -> Vec<wisteriaford_core::gateway::schedule::Finished> {
+    let view = gateway.view.load();
+    gateway.schedule().give_up(clock::unix_ms(), &view.routes)
+}
+
+fn starts(gateway: &Gateway) -> Vec<Start> {
+    let view = gateway.view.load();
+    let plans = gateway.plans();
+    let accepts = |endpoint: &Endpoint, job: &JobSpec, exact: Option<Version>| {
+        let Some(model) = &job.model else {
+            return true;
+        };
+        let plan = plans.get(model);
+        if plan.is_some_and(|plan| plan.is_loading(&endpoint.id)) {
+            return false;
+        }
+        let known = plan.and_then(|plan| plan.version_of(&endpoint.id));
+        let listed = endpoint.weights.iter().find(|(name, _)| name == model);
+        let version = known.or(listed.map(|(_, version)| *version));
+        version.is_none_or(|version| match exact {
+            Some(exact) => version == exact,
+            None => version >= job.min_version,
+        })
+    };
+    let mut schedule = gateway.schedule();
+    let mut fleet = gateway.fleet();
+    schedule.next_starts(
+        clock::now(),
+        clock::unix_ms(),
+        &view.routes,
+        &view.endpoints,
+        &mut fleet,
+        accepts,
+    )
+}
+
+/// Runs an item at the engine that was chosen for it.
+async fn run_item(gateway: Arc<Gateway>, start: Start) {
+    let in_flight = InFlight::counted(&gateway, &start.endpoint.id);
+    let started = clock::now();
+    let (outcome, cause) = match stream_item(&gateway, &start).await {
+        Ok(()) => (RunOutcome::Completed, None),
+        Err((outcome, cause)) => (outcome, Some(cause)),
+    };
+    drop(in_flight);
+    let now = clock::now();
+    note_endpoint(&gateway, &start, outcome);
+    let route = {
+        let view = gateway.view.load();
+        view.routes.find(&start.job.host, &start.item.path).cloned()
+    };
+    let max_failures = route.map_or(u32::MAX, |route| route.max_attempts.max(1));
+    let end = gateway.schedule().ended(now, &start, outcome, max_failures);
+    log::info!(
+        job:% = start.job.id, item:% = start.item.id, endpoint:% = start.endpoint.id,
+        outcome:? = outcome, cause:% = cause.unwrap_or_default(), after_event = start.after_event,
+        in_flight = start.reason.in_flight, relative_pace = start.reason.relative_pace,
+        took_ms = now.since(started).as_millis();
+        "item run ended"
+    );
+    gateway.metrics.item_time(now.since(started));
+    match end {
+        RunEnd::Finished(finished) => gateway.outbox.push(finished),
+        RunEnd::Waits { failures } if outcome == RunOutcome::Failed => {
+            let note = record::failed_record(&start.job.id, &start.item.id, failures);
+            gateway.outbox.push_note(note);
+        }
+        RunEnd::Waits { .. } | RunEnd::Stale => {}
+    }
+    gateway.runner_wake.notify_one();
+}
+
+fn note_endpoint(gateway: &Gateway, start: &Start, outcome: RunOutcome) {
+    let now = clock::now();
+    let mut fleet = gateway.fleet();
+    let id = &start.endpoint.id;
+    match outcome {
+        RunOutcome::Completed => fleet.note_success(id),
+        RunOutcome::Full | RunOutcome::NotRun => fleet.note_full(now, id),
+        RunOutcome::Unreachable => fleet.note_unreachable(now, id),
+        RunOutcome::Failed | RunOutcome::Broken | RunOutcome::Silent => {
+            fleet.note_failure(now, id);
+        }
+        RunOutcome::Impossible | RunOutcome::WrongVersion => {}
+    }
+}
+
+type RunFailure = (RunOutcome, CompactString);
+
+fn failure(outcome: RunOutcome, cause: impl std::fmt::Display) -> RunFailure {
+    (outcome, compact_str::format_compact!("{cause}"))
+}
+
+async fn stream_item(gateway: &Gateway, start: &Start) -> Result<(), RunFailure> {
+    let request = gateway.endpoints.item_request(start);
+    let endpoint = &start.endpoint;
+    let opened = gateway
+        .client
+        .open(endpoint.id.as_str(), endpoint.address, request, false);
+    let opened = tokio::time::timeout(LOADING_SILENCE, opened).await;
+    let answer = match opened {
+        Err(_) => return Err(failure(RunOutcome::Silent, "no answer in time")),
+        Ok(Err(error @ CallError::Unreachable { .. })) => {
+            return Err(failure(RunOutcome::Unreachable, error));
+        }
+        Ok(Err(error)) => return Err(failure(RunOutcome::Broken, error)),
+        Ok(Ok(answer)) => answer,
+    };
+    let facts = gateway
+        .endpoints
+        .answer(answer.response.status(), answer.response.headers());
+    check_head(gateway, start, &answer, &facts)?;
+    if !answer.response.status().is_success() {
+        let refusal = refusal(gateway, answer.response.status(), facts.not_run);
+        // The body of a refusal is of no use, but reading it keeps the connection.
+        drop(answer.read_whole().await);
+        return Err(refusal);
+    }
+    read_events(gateway, start, answer, facts.version).await
+}
+
+fn check_head(
+    gateway: &Gateway,
+    start: &Start,
+    answer: &OpenAnswer,
+    facts: &crate::border::AnswerFacts,
+) -> Result<(), RunFailure> {
+    let is_other = facts.request.as_ref();
+    if is_other.is_some_and(|id| id.as_str() != start.item.id.as_str()) {
+        return Err(failure(
+            RunOutcome::Broken,
+            "the answer belongs to another request",
+        ));
+    }
+    let (Some(version), true) = (facts.version, answer.response.status().is_success()) else {
+        return Ok(());
+    };
+    if let Some(model) = &start.job.model
+        && let Some(plan) = gateway.plans().get_mut(model)
+    {
+        plan.note_version(&start.endpoint.id, version);
+    }
+    let wrong = version < start.min_version || start.exact_version.is_some_and(|v| v != version);
+    if wrong {
+        return Err(failure(
+            RunOutcome::WrongVersion,
+            format_args!("the engine has version {version}"),
+        ));
+    }
+    Ok(())
+}
+
+fn refusal(gateway: &Gateway, status: StatusCode, not_run: bool) -> RunFailure {
+    let outcome = if not_run && status == StatusCode::SERVICE_UNAVAILABLE {
+        RunOutcome::Full
+    } else if not_run {
+        RunOutcome::NotRun
+    } else if gateway.endpoints.is_impossible(status) {
+        RunOutcome::Impossible
+    } else if status == StatusCode::INTERNAL_SERVER_ERROR {
+        RunOutcome::Failed
+    } else {
+        RunOutcome::Broken
+    };
+    failure(outcome, status)
+}
+
+async fn read_events(
+    gateway: &Gateway,
+    start: &Start,
+    mut answer: OpenAnswer,
+    mut version: Option<Version>,
+) -> Result<(), RunFailure> {
+    let mut reader = EventReader::default();
+    let mut last_event_at = clock::now();
+    loop {
+        let silence = silence_of(gateway, start);
+        let frame = tokio::time::timeout(silence, answer.response.body_mut().frame()).await;
+        let bytes = match frame {
+            Err(_) => return Err(failure(RunOutcome::Silent, "no event in time")),
+            Ok(Some(Err(error))) => return Err(failure(RunOutcome::Broken, error)),
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(None) if reader.has_rest() => {
+                return Err(failure(RunOutcome::Broken, "ended within an event"));
+            }
+            Ok(None) => {
+                answer.keep_connection();
+                return Ok(());
+            }
+        };
+        reader.push(&bytes);
+        loop {
+            let event = reader.next_event();
+            let event = event.map_err(|error| failure(RunOutcome::Broken, error))?;
+            let Some(event) = event else { break };
+            let mut named = event.other_lines.iter();
+            let named = named.find_map(|line| gateway.endpoints.version_line(line));
+            version = named.or(version);
+            let Some(id) = event.id else { continue };
+            let now = clock::now();
+            note_pace(gateway, start, now.since(last_event_at));
+            last_event_at = now;
+            if !gateway.schedule().event(start, id, event.data, version) {
+                return Err(failure(RunOutcome::Broken, "no longer needed"));
+            }
+        }
+    }
+}
+
+fn note_pace(gateway: &Gateway, start: &Start, taken: Duration) {
+    let pool = &start.endpoint.pool;
+    let mut fleet = gateway.fleet();
+    fleet.note_pace(clock::now(), pool, &start.endpoint.id, taken);
+}
+
+fn silence_of(gateway: &Gateway, start: &Start) -> Duration {
+    let model = start.job.model.as_ref();
+    let plans = gateway.plans();
+    let plan = model.and_then(|model| plans.get(model));
+    if plan.is_some_and(|plan| plan.is_loading(&start.endpoint.id)) {
+        LOADING_SILENCE
+    } else {
+        SILENCE
+    }
+}
--- /dev/null
+++ b/wisteriaford_gateway/src/server.rs
@@ -0,0 +1,264 @@
+//! Server for callers and for readiness.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use wisteriaford_core::gateway::route::RouteKind;
+use wisteriaford_core::id::TableVersion;
+
+use crate::border::CallerTarget;
+use crate::caller_jobs;
+use crate::forward;
+use crate::refusal::Answer;
+use crate::refusal::Reason;
+use crate::refusal::refuse;
+use crate::refusal::status_only;
+use crate::refusal::whole;
+use crate::state::Gateway;
+use crate::state::stopped;
+
+/// Time to come back to an instance that knows no routes yet.
+const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Longest time that a body may take if the caller names no deadline.
+const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Smallest buffer that the HTTP library takes.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
+/// Wait after a connection could not be accepted.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Accepts callers until the gateway stops.
+pub(crate) async fn serve_callers(gateway: Arc<Gateway>, listener: TcpListener) {
+    accept(listener, gateway.stop.clone(), |stream| {
+        let gateway = Arc::clone(&gateway);
+        tokio::spawn(serve_caller(gateway, stream));
+    })
+    .await;
+}
+
+async fn accept(
+    listener: TcpListener,
+    mut stop: tokio::sync::watch::Receiver<bool>,
+    serve: impl Fn(TcpStream),
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped(&mut stop) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(stream),
+            Err(error) => {
+                log::warn!(error:% = error; "connection not accepted");
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(gateway: Arc<Gateway>, stream: TcpStream) {
+    // Without it small answers wait for acknowledgements; the connection works either way.
+    drop(stream.set_nodelay(true));
+    let limits = gateway.view.load().routes.limits;
+    let mut stop = gateway.stop.clone();
+    let service = service_fn(|request| {
+        let gateway = Arc::clone(&gateway);
+        async move { Ok::<_, std::convert::Infallible>(handle(&gateway, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stopped(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "caller's connection ended");
+    }
+}
+
+/// Counts a request until its answer is complete or given up.
+struct InProgress<'a>(&'a Gateway);
+
+impl<'a> InProgress<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        gateway.requests_in_progress.fetch_add(1, Ordering::AcqRel);
+        Self(gateway)
+    }
+}
+
+impl Drop for InProgress<'_> {
+    fn drop(&mut self) {
+        self.0.requests_in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+async fn handle(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Answer {
+    let _counted = InProgress::new(gateway);
+    let mut answer = answer(gateway, request).await;
+    if gateway.leaving.load(Ordering::Acquire) {
+        let close = http::HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+async fn answer(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Answer {
+    let (parts, body) = request.into_parts();
+    let head = match gateway.callers.head(&parts) {
+        Ok(head) => head,
+        Err(error) => {
+            log::warn!(error:% = error; "head refused");
+            gateway.metrics.refused(Reason::BadHead);
+            return refuse(Reason::BadHead, None);
+        }
+    };
+    match &head.target {
+        CallerTarget::Results {
+            job,
+            position,
+            wait,
+        } => return caller_jobs::results(gateway, job, *position, *wait).await,
+        CallerTarget::ItemBody { job, item } => {
+            return caller_jobs::item_body(gateway, job, item).await;
+        }
+        CallerTarget::EndJob { job } => return caller_jobs::end(gateway, &head, job).await,
+        CallerTarget::Routed => {}
+    }
+    let view = gateway.view.load_full();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let Some(route) = view.routes.find(&head.host, path) else {
+        return no_route(gateway, &head, path, view.routes.version);
+    };
+    let route = Arc::clone(route);
+    let max_body_bytes = view.routes.limits.max_body_bytes;
+    let body_timeout = head.time_left.unwrap_or(DEFAULT_BODY_TIMEOUT);
+    let read = tokio::time::timeout(body_timeout, read_body(body, max_body_bytes));
+    let body = match read.await.unwrap_or(Err(Reason::BodyTooSlow)) {
+        Ok(body) => body,
+        Err(reason) => {
+            log::warn!(request:% = head.request, reason:% = reason; "body refused");
+            gateway.metrics.refused(reason);
+            return refuse(reason, None);
+        }
+    };
+    if route.kind == RouteKind::Batch {
+        return caller_jobs::submit(gateway, &head, &route, path, &body).await;
+    }
+    forward::forward(gateway, &head, &route, &parts, body).await
+}
+
+fn no_route(
+    gateway: &Gateway,
+    head: &crate::border::CallerHead,
+    path: &str,
+    version: TableVersion,
+) -> Answer {
+    let reason = if version == TableVersion(0) {
+        Reason::NoRoutesKnown
+    } else {
+        Reason::NoRoute
+    };
+    log::info!(
+        request:% = head.request, host:% = head.host, path = path, table = version.0,
+        reason:% = reason;
+        "request refused"
+    );
+    gateway.metrics.refused(reason);
+    let wait = (reason == Reason::NoRoutesKnown).then_some(NO_ROUTES_RETRY_AFTER);
+    refuse(reason, wait)
+}
+
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Reason> {
+    let declared = body.size_hint().lower();
+    if usize::try_from(declared).unwrap_or(usize::MAX) > max_bytes {
+        return Err(Reason::BodyTooLarge);
+    }
+    let read = Limited::new(body, max_bytes).collect().await;
+    read.map(|whole| whole.to_bytes()).map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            Reason::BodyTooLarge
+        } else {
+            Reason::BadBody
+        }
+    })
+}
+
+/// Answers questions for readiness until the process ends.
+pub(crate) async fn serve_readiness(gateway: Arc<Gateway>, listener: TcpListener) {
+    serve_plain(listener, move |request: Request<Incoming>| {
+        let gateway = Arc::clone(&gateway);
+        async move {
+            let path = request.uri().path();
+            if !gateway.callers.asks_readiness(request.method(), path) {
+                return status_only(StatusCode::NOT_FOUND);
+            }
+            match gateway.readiness() {
+                Ok(()) => status_only(StatusCode::OK),
+                Err(reason) => {
+                    let mut answer = status_only(StatusCode::SERVICE_UNAVAILABLE);
+                    *answer.body_mut() = whole(reason.to_string());
+                    answer
+                }
+            }
+        }
+    })
+    .await;
+}
+
+/// Serves metrics in the Prometheus text form until the process ends.
+pub(crate) async fn serve_metrics(gateway: Arc<Gateway>, address: SocketAddr) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(address:% = address, error:% = error; "metrics are not served");
+            return;
+        }
+    };
+    serve_plain(listener, move |_| {
+        let gateway = Arc::clone(&gateway);
+        async move { http::Response::new(whole(gateway.metrics.text())) }
+    })
+    .await;
+}
+
+async fn serve_plain<F>(listener: TcpListener, answer: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static)
+where
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let (_keep, never) = tokio::sync::watch::channel(false);
+    accept(listener, never, |stream| {
+        let answer = answer.clone();
+        let service = service_fn(move |request| {
+            let answer = answer(request);
+            async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        // An error is of no concern beyond the connection.
+        tokio::spawn(async move { drop(connection.await) });
+    })
+    .await;
+}
--- /dev/null
+++ b/wisteriaford_gateway/src/state.rs
@@ -0,0 +1,255 @@
+//! State that the gateway's tasks share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use wisteriaford_core::gateway::duty::Duty;
+use wisteriaford_core::gateway::endpoint::EndpointTable;
+use wisteriaford_core::gateway::fleet::Fleet;
+use wisteriaford_core::gateway::job_fold::JobFold;
+use wisteriaford_core::gateway::route::RouteTable;
+use wisteriaford_core::gateway::schedule::Schedule;
+use wisteriaford_core::gateway::weights::WeightPlan;
+use wisteriaford_core::id::ModelId;
+use wisteriaford_core::id::TableVersion;
+use wisteriaford_core::id::Version;
+use wisteriaford_core::time::Timestamp;
+
+use crate::border::CallerProtocol;
+use crate::border::EndpointProtocol;
+use crate::border::FactDecoder;
+use crate::border::Log;
+use crate::border::LogError;
+use crate::border::Topic;
+use crate::client::Client;
+use crate::clock;
+use crate::metrics::Metrics;
+use crate::outbox::Outbox;
+use crate::settings::GatewaySettings;
+
+/// Time without an answer of the log after which this instance asks for no new callers.
+///
+/// Other instances may reach the log; if none does, the balancer uses all of them again.
+const MAX_LOG_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Implementations of the borders.
+pub struct Borders {
+    /// Shared log.
+    pub log: Arc<dyn Log>,
+    /// Decoder of the log's read-only topics.
+    pub facts: Arc<dyn FactDecoder>,
+    /// How callers speak.
+    pub callers: Arc<dyn CallerProtocol>,
+    /// How endpoints speak.
+    pub endpoints: Arc<dyn EndpointProtocol>,
+    /// Client whose connections the log's calls may share.
+    pub client: Client,
+}
+
+/// Routing, endpoints and named versions as of one moment.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct View {
+    pub(crate) routes: Arc<RouteTable>,
+    pub(crate) endpoints: Arc<EndpointTable>,
+    pub(crate) weights: Arc<IndexMap<ModelId, Version>>,
+}
+
+/// How current the fold of a topic is.
+#[derive(Debug, Default)]
+pub(crate) struct Freshness {
+    as_of_us: AtomicU64,
+    answered_us: AtomicU64,
+    failing: AtomicBool,
+}
+
+impl Freshness {
+    /// Returns the time as of which everything was read; zero if that was never so.
+    pub(crate) fn as_of(&self) -> Timestamp {
+        Timestamp(self.as_of_us.load(Ordering::Acquire))
+    }
+
+    pub(crate) fn advance(&self, as_of: Timestamp) {
+        self.as_of_us.fetch_max(as_of.0, Ordering::AcqRel);
+    }
+
+    /// Returns when the log last answered a read of the topic.
+    pub(crate) fn answered(&self) -> Timestamp {
+        Timestamp(self.answered_us.load(Ordering::Acquire))
+    }
+}
+
+/// Everything that the tasks share.
+pub(crate) struct Gateway {
+    pub(crate) settings: ArcSwap<GatewaySettings>,
+    pub(crate) log: Arc<dyn Log>,
+    pub(crate) facts: Arc<dyn FactDecoder>,
+    pub(crate) callers: Arc<dyn CallerProtocol>,
+    pub(crate) endpoints: Arc<dyn EndpointProtocol>,
+    pub(crate) client: Client,
+    pub(crate) view: ArcSwap<View>,
+    pub(crate) metrics: Metrics,
+    pub(crate) outbox: Outbox,
+    pub(crate) jobs_changed: watch::Sender<u64>,
+    pub(crate) runner_wake: Notify,
+    pub(crate) stop: watch::Receiver<bool>,
+    pub(crate) leaving: AtomicBool,
+    pub(crate) requests_in_progress: AtomicUsize,
+    fleet: Mutex<Fleet>,
+    jobs: Mutex<JobFold>,
+    duty: Mutex<Duty>,
+    schedule: Mutex<Schedule>,
+    plans: Mutex<IndexMap<ModelId, WeightPlan>>,
+    freshness: [Freshness; 4],
+    counter: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Gateway {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        borders: Borders,
+        duty: Duty,
+        metrics: Metrics,
+        stop: watch::Receiver<bool>,
+    ) -> Self {
+        let availability_zone = settings.availability_zone.clone();
+        Self {
+            settings: ArcSwap::from_pointee(settings),
+            log: borders.log,
+            facts: borders.facts,
+            callers: borders.callers,
+            endpoints: borders.endpoints,
+            client: borders.client,
+            view: ArcSwap::default(),
+            metrics,
+            outbox: Outbox::default(),
+            jobs_changed: watch::Sender::new(0),
+            runner_wake: Notify::new(),
+            stop,
+            leaving: AtomicBool::new(false),
+            requests_in_progress: AtomicUsize::new(0),
+            fleet: Mutex::new(Fleet::new(availability_zone)),
+            jobs: Mutex::default(),
+            duty: Mutex::new(duty),
+            schedule: Mutex::default(),
+            plans: Mutex::default(),
+            freshness: Default::default(),
+            counter: AtomicU64::new(0),
+        }
+    }
+
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    pub(crate) fn jobs(&self) -> MutexGuard<'_, JobFold> {
+        lock(&self.jobs)
+    }
+
+    pub(crate) fn duty(&self) -> MutexGuard<'_, Duty> {
+        lock(&self.duty)
+    }
+
+    pub(crate) fn schedule(&self) -> MutexGuard<'_, Schedule> {
+        lock(&self.schedule)
+    }
+
+    pub(crate) fn plans(&self) -> MutexGuard<'_, IndexMap<ModelId, WeightPlan>> {
+        lock(&self.plans)
+    }
+
+    pub(crate) fn freshness(&self, topic: Topic) -> &Freshness {
+        &self.freshness[topic as usize]
+    }
+
+    /// Returns a name that is unique over the fleet and all time.
+    pub(crate) fn unique_name(&self) -> String {
+        let number = self.counter.fetch_add(1, Ordering::Relaxed);
+        format!("{}.{number}", self.settings.load().instance)
+    }
+
+    /// Tells everyone who waits for batch jobs that some changed.
+    pub(crate) fn jobs_have_changed(&self) {
+        self.jobs_changed.send_modify(|count| *count += 1);
+        self.runner_wake.notify_one();
+    }
+
+    /// Counts an answer of the log; a lost log is back.
+    pub(crate) fn note_log_answer(&self, topic: Topic) {
+        let freshness = self.freshness(topic);
+        freshness.answered_us.store(clock::now().0, Ordering::Release);
+        if freshness.failing.swap(false, Ordering::AcqRel) {
+            log::info!(topic:% = topic; "the log answers again");
+        }
+    }
+
+    /// Counts a failure of the log; the first one in a row is logged.
+    pub(crate) fn note_log_failure(&self, topic: Topic, error: &LogError) {
+        self.metrics.log_failures.add(1, &[]);
+        let freshness = self.freshness(topic);
+        if !freshness.failing.swap(true, Ordering::AcqRel) {
+            log::warn!(
+                topic:% = topic, error:% = error,
+                age_ms = clock::now().since(freshness.as_of()).as_millis();
+                "the log doesn't answer"
+            );
+        }
+    }
+
+    /// Returns whether new callers should be sent here, or why not.
+    pub(crate) fn readiness(&self) -> Result<(), NotReady> {
+        if self.leaving.load(Ordering::Acquire) {
+            return Err(NotReady::Leaving);
+        }
+        if self.view.load().routes.version == TableVersion(0) {
+            return Err(NotReady::NoRoutes);
+        }
+        let topics = [Topic::Publications, Topic::Endpoints, Topic::Jobs];
+        if topics.iter().any(|t| self.freshness(*t).as_of() == Timestamp(0)) {
+            return Err(NotReady::Reading);
+        }
+        let answered = topics.iter().map(|t| self.freshness(*t).answered()).max();
+        let silence = clock::now().since(answered.unwrap_or_default());
+        if silence > MAX_LOG_SILENCE {
+            return Err(NotReady::LogSilent);
+        }
+        Ok(())
+    }
+}
+
+/// Why an instance takes no new callers.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+pub(crate) enum NotReady {
+    /// It stops.
+    #[display("leaving")]
+    Leaving,
+    /// It knows no routes.
+    #[display("no_routes")]
+    NoRoutes,
+    /// It has not read the log to its end yet.
+    #[display("reading")]
+    Reading,
+    /// The log has not answered for a while.
+    #[display("log_silent")]
+    LogSilent,
+}
+
+/// Waits until the gateway stops.
+pub(crate) async fn stopped(stop: &mut watch::Receiver<bool>) {
+    // Without a sender there is nobody left who could go on.
+    drop(stop.wait_for(|stopped| *stopped).await);
+}
--- /dev/null
+++ b/wisteriaford_gateway/src/stream.rs
@@ -0,0 +1,234 @@
+//! Streams of events passed on to callers as they arrive.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use tokio::sync::mpsc;
+use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::fleet::Query;
+use wisteriaford_core::gateway::route::Route;
+use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::PoolId;
+use wisteriaford_core::time::Timestamp;
+
+use crate::border::CallerHead;
+use crate::client::CallError;
+use crate::client::OpenAnswer;
+use crate::clock;
+use crate::event_stream::EventReader;
+use crate::forward::Call;
+use crate::forward::InFlight;
+use crate::forward::remove_connection_headers;
+use crate::forward::request_for;
+use crate::refusal::Answer;
+use crate::state::Gateway;
+
+/// Events that wait for a caller which doesn't read.
+const BUFFERED_EVENTS: usize = 16;
+/// Silence of an endpoint after which a resumable stream goes on elsewhere.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Wait before a stream goes on at another endpoint.
+const RESUME_BACKOFF: Duration = Duration::from_millis(30);
+
+/// Returns whether an answer is a stream of events.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    let text = content_type.and_then(|value| value.to_str().ok());
+    text.is_some_and(|text| text.starts_with("text/event-stream"))
+}
+
+/// Call whose answer is a stream, kept while the stream is passed on.
+struct StreamedCall {
+    gateway: Arc<Gateway>,
+    head: CallerHead,
+    route: Arc<Route>,
+    pool: PoolId,
+    parts: http::request::Parts,
+    body: Bytes,
+    deadline: Timestamp,
+    tried: Vec<EndpointId>,
+    last_event: Option<u64>,
+}
+
+/// How a part of a stream ended.
+enum PartEnd {
+    /// The stream is whole.
+    Complete,
+    /// The caller has left.
+    CallerLeft,
+    /// The endpoint's part broke off.
+    Broken(CallError),
+}
+
+/// Returns an answer that passes a stream on, and goes on elsewhere if it breaks and may.
+pub(crate) fn deliver(
+    gateway: &Arc<Gateway>,
+    call: &Call<'_>,
+    endpoint: Endpoint,
+    open: OpenAnswer,
+) -> Answer {
+    let mut headers = open.response.headers().clone();
+    remove_connection_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let status = open.response.status();
+    let streamed = StreamedCall {
+        gateway: Arc::clone(gateway),
+        head: call.head.clone(),
+        route: Arc::clone(call.route),
+        pool: call.pool.clone(),
+        parts: call.parts.clone(),
+        body: call.body.clone(),
+        deadline: call.deadline,
+        tried: vec![endpoint.id.clone()],
+        last_event: call.head.after_event,
+    };
+    let (sender, receiver) = mpsc::channel(BUFFERED_EVENTS);
+    tokio::spawn(pass_on(streamed, endpoint, open, sender));
+    let frames = futures_util::stream::unfold(receiver, |mut receiver| async move {
+        receiver.recv().await.map(|frame| (frame, receiver))
+    });
+    let mut answer = Response::new(StreamBody::new(Box::pin(frames)).boxed());
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+type FrameSender = mpsc::Sender<Result<Frame<Bytes>, CallError>>;
+
+async fn pass_on(
+    mut call: StreamedCall,
+    mut endpoint: Endpoint,
+    mut open: OpenAnswer,
+    sender: FrameSender,
+) {
+    loop {
+        call.gateway.fleet().started(&endpoint.id);
+        let in_flight = InFlight::counted(&call.gateway, &endpoint.id);
+        let end = pass_part(&mut call, open, &sender).await;
+        drop(in_flight);
+        let error = match end {
+            PartEnd::Complete => return,
+            PartEnd::CallerLeft => {
+                log::info!(
+                    request:% = call.head.request, endpoint:% = endpoint.id;
+                    "caller left its stream"
+                );
+                return;
+            }
+            PartEnd::Broken(error) => error,
+        };
+        log::info!(
+            request:% = call.head.request, endpoint:% = endpoint.id, error:% = error,
+            last_event = call.last_event;
+            "stream broke"
+        );
+        call.gateway.fleet().note_failure(clock::now(), &endpoint.id);
+        match resume(&mut call).await {
+            Some((next, answer)) => (endpoint, open) = (next, answer),
+            None => {
+                // The caller must not take the part that it has for the whole.
+                drop(sender.send(Err(error)).await);
+                return;
+            }
+        }
+    }
+}
+
+async fn pass_part(call: &mut StreamedCall, mut open: OpenAnswer, sender: &FrameSender) -> PartEnd {
+    let mut reader = EventReader::default();
+    loop {
+        let left = call.deadline.since(clock::now());
+        let silence = if call.route.resumable { SILENCE.min(left) } else { left };
+        let frame = tokio::select! {
+            frame = tokio::time::timeout(silence, open.response.body_mut().frame()) => frame,
+            () = sender.closed() => return PartEnd::CallerLeft,
+        };
+        let bytes = match frame {
+            Err(_) => return PartEnd::Broken(CallError::Timeout),
+            Ok(Some(Err(error))) => return PartEnd::Broken(CallError::lost(error)),
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(None) if reader.has_rest() => {
+                return PartEnd::Broken(CallError::lost("the stream ended within an event"));
+            }
+            Ok(None) => {
+                open.keep_connection();
+                return PartEnd::Complete;
+            }
+        };
+        reader.push(&bytes);
+        loop {
+            let event = match reader.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(error) => return PartEnd::Broken(CallError::lost(error)),
+            };
+            if event.id.is_some() && event.id <= call.last_event {
+                continue;
+            }
+            call.last_event = event.id.or(call.last_event);
+            let frame = Frame::data(Bytes::from(event.raw));
+            if sender.send(Ok(frame)).await.is_err() {
+                return PartEnd::CallerLeft;
+            }
+        }
+    }
+}
+
+/// Sends the call to another endpoint, after the last event that the caller was sent.
+async fn resume(call: &mut StreamedCall) -> Option<(Endpoint, OpenAnswer)> {
+    let max_attempts = usize::try_from(call.route.max_attempts).unwrap_or(usize::MAX);
+    while call.route.resumable && call.tried.len() < max_attempts {
+        tokio::time::sleep(RESUME_BACKOFF).await;
+        let endpoint = choose(call)?;
+        call.tried.push(endpoint.id.clone());
+        let request = {
+            let forwarded = Call {
+                head: &call.head,
+                route: &call.route,
+                pool: &call.pool,
+                parts: &call.parts,
+                body: call.body.clone(),
+                deadline: call.deadline,
+            };
+            request_for(&call.gateway, &forwarded, &endpoint, call.last_event)
+        };
+        let client = &call.gateway.client;
+        let opened = client.open(endpoint.id.as_str(), endpoint.address, request, true);
+        let left = call.deadline.since(clock::now()).min(SILENCE);
+        let Ok(Ok(answer)) = tokio::time::timeout(left, opened).await else {
+            call.gateway.fleet().note_unreachable(clock::now(), &endpoint.id);
+            continue;
+        };
+        let response = &answer.response;
+        if response.status().is_success() && is_event_stream(response.headers()) {
+            log::info!(
+                request:% = call.head.request, endpoint:% = endpoint.id,
+                after_event = call.last_event;
+                "stream goes on"
+            );
+            return Some((endpoint, answer));
+        }
+    }
+    None
+}
+
+fn choose(call: &StreamedCall) -> Option<Endpoint> {
+    let view = call.gateway.view.load();
+    let query = Query {
+        pool: &call.pool,
+        tried: &call.tried,
+        affinity: None,
+        max_in_flight: None,
+        may_force: false,
+    };
+    let fleet = call.gateway.fleet();
+    let chosen = fleet.choose(clock::now(), &view.endpoints, &query, |_| 0, |_| true);
+    chosen.map(|(endpoint, _)| endpoint.clone())
+}
--- a/wisteriaford_proto/src/lib.rs
+++ b/wisteriaford_proto/src/lib.rs
@@ -44,3 +44,9 @@
 pub mod peer {
     include!("generated/wisteriaford.peer.rs");
 }
+
+/// Records of batch jobs and of the runner's lease.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+pub mod job {
+    include!("generated/wisteriaford.job.rs");
+}
