--- a/wisteriaford_core/src/gateway/duty.rs
+++ b/wisteriaford_core/src/gateway/duty.rs
@@ -2,11 +2,17 @@
 //!
 //! The lease is a chain of records in a topic of its own. Each is appended on the condition that
 //! the topic ends where its writer has read to, so two claims can't both succeed. The offset of
-//! the record that begins a term, plus one, is its fencing number. A holder trusts its lease for
-//! [`LEASE`] after it sent its last renewal; others take over [`LEASE`] after they saw it.
+//! the record that begins a term, plus one, is its fencing number.
+//!
+//! A holder trusts its lease for [`LEASE`] after it sent its last renewal; others take over
+//! [`LEASE`] after they saw it. Running an item twice does no harm, so this time is short. Orders
+//! need more: a new holder gives none until the one before it, had it renewed once more than was
+//! seen, must have stopped. A daemon that starts again on the holder's machine knows that the
+//! holder is gone, and takes over at once.
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use prost::Message;
 use wisteriaford_proto::job::DutyRecord;
 
@@ -16,16 +22,18 @@
 use crate::id::Offset;
 use crate::time::Timestamp;
 
+/// Time that a lease lasts: three renewals, so that one lost answer doesn't move the duty.
+pub const LEASE: Duration = Duration::from_millis(1_500);
 /// Time between renewals.
-pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of the lease that a holder doesn't use, for clocks that run apart.
-pub const SAFETY_MARGIN: Duration = Duration::from_millis(300);
+pub const SAFETY_MARGIN: Duration = Duration::from_millis(200);
 /// Time that the log must be within reach again before a lease counts as lapsed.
-const REACHABLE_AGAIN: Duration = Duration::from_millis(1_000);
+const REACHABLE_AGAIN: Duration = Duration::from_millis(700);
 /// Largest wait before a claim, so that not all instances claim at once.
 const MAX_CLAIM_DELAY_MS: u64 = 300;
 /// Wait after an append that was refused or whose answer was lost.
-const APPEND_BACKOFF: Duration = Duration::from_millis(400);
+const APPEND_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Record to be appended at the end that was read to.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -63,6 +71,7 @@
 #[derive(Clone, Debug)]
 struct Term {
     holder: InstanceId,
+    host: CompactString,
     fence: Fence,
     seen: Timestamp,
     released: bool,
@@ -79,7 +88,8 @@
 #[derive(Clone, Debug)]
 pub struct Duty {
     me: InstanceId,
-    lease: Duration,
+    host: CompactString,
+    order_gap: Duration,
     claim_delay: Duration,
     end: Option<Offset>,
     term: Option<Term>,
@@ -95,13 +105,20 @@
 impl Duty {
     /// Returns the duty as an instance sees it that has read nothing.
     ///
-    /// `handicap` delays its claims, so that better suited instances come first.
+    /// Holders of different machines leave `order_gap` between their orders. `handicap` delays
+    /// the claims of this instance, so that better suited ones come first.
     #[must_use]
-    pub fn new(me: InstanceId, lease: Duration, handicap: Duration) -> Self {
+    pub fn new(
+        me: InstanceId,
+        host: CompactString,
+        order_gap: Duration,
+        handicap: Duration,
+    ) -> Self {
         let spread_ms = rendezvous_rank("duty", me.as_str()) % MAX_CLAIM_DELAY_MS;
         Self {
             me,
-            lease,
+            host,
+            order_gap,
             claim_delay: handicap + Duration::from_millis(spread_ms),
             end: None,
             term: None,
@@ -184,6 +201,7 @@
         self.note_own_append(now, offset, &holder, record.fence == 0);
         self.term = Some(Term {
             holder: holder.clone(),
+            host: record.host.into(),
             fence,
             seen: now,
             released: record.released,
@@ -254,6 +272,7 @@
             holder: String::from(&self.me),
             fence: fence.map_or(0, |fence| fence.0),
             released,
+            host: self.host.to_string(),
         };
         DutyAppend {
             at,
@@ -279,12 +298,12 @@
         if let Some(pending) = self.pending.take_if(|pending| pending.at == offset) {
             self.renewed = pending.sent;
             if !pending.releases {
-                self.valid_until = pending.sent + self.lease - SAFETY_MARGIN;
+                self.valid_until = pending.sent + LEASE - SAFETY_MARGIN;
             }
         }
         if begins {
-            let others = self.term.as_ref().filter(|term| term.holder != self.me);
-            let waits = others.map(|term| term.seen + self.lease);
+            let others = self.term.as_ref().filter(|term| term.host != self.host);
+            let waits = others.map(|term| term.seen + LEASE + self.order_gap);
             self.orders_from = waits.unwrap_or(now);
         }
     }
@@ -299,10 +318,10 @@
         if term.released {
             return now >= term.seen + self.claim_delay;
         }
-        if term.holder == self.me {
+        if term.host == self.host {
             return true;
         }
-        let lapsed = term.seen + self.lease;
+        let lapsed = term.seen + LEASE;
         let settled = reachable_since + REACHABLE_AGAIN;
         now >= lapsed.max(settled) + self.claim_delay
     }
--- a/wisteriaford_core/src/gateway/fleet.rs
+++ b/wisteriaford_core/src/gateway/fleet.rs
@@ -23,7 +23,9 @@
 /// Time that an endpoint which refused as full is left out.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 /// Weight of a new observation in the moving average of an endpoint's pace.
-const PACE_WEIGHT: f64 = 0.3;
+const PACE_WEIGHT: f64 = 0.1;
+/// Longest unit of work that counts, as a multiple of the usual one; a pause isn't a pace.
+const MAX_RELATIVE_PACE: f64 = 6.0;
 /// Time after which half of an endpoint's deviation from the usual pace is forgotten.
 const PACE_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Cost of a request between availability zones, as a part of the usual pace.
@@ -156,7 +158,7 @@
         // Slow endpoints move the usual pace less than fast ones, so it stays that of sound ones.
         let weight = if micros > usual.micros { 0.01 } else { 0.1 };
         usual.micros += (micros - usual.micros) * weight;
-        let relative = micros / usual.micros.max(1.0);
+        let relative = (micros / usual.micros.max(1.0)).min(MAX_RELATIVE_PACE);
         let seen = self.entry(endpoint);
         let before = seen.pace(now);
         seen.relative_pace = before + (relative - before) * PACE_WEIGHT;
@@ -193,6 +195,13 @@
         self.entry(endpoint).full_until = now + FULL_BACKOFF;
     }
 
+    /// Returns whether an endpoint is not left out.
+    #[must_use]
+    pub fn is_sound(&self, now: Timestamp, endpoint: &EndpointId) -> bool {
+        let seen = self.observed.get(endpoint);
+        seen.is_none_or(|seen| !seen.is_left_out(now))
+    }
+
     /// Returns the pace of an endpoint relative to the usual one of its pool.
     #[must_use]
     pub fn relative_pace(&self, now: Timestamp, endpoint: &EndpointId) -> f64 {
@@ -225,10 +234,7 @@
             .filter(|endpoint| accepts(endpoint))
             .filter(|endpoint| self.has_room(endpoint, query))
             .collect();
-        let is_sound = |endpoint: &&&Endpoint| {
-            let seen = self.observed.get(&endpoint.id);
-            seen.is_none_or(|seen| !seen.is_left_out(now))
-        };
+        let is_sound = |endpoint: &&&Endpoint| self.is_sound(now, &endpoint.id);
         let cost = |endpoint: &Endpoint| self.cost(now, endpoint, idle_connections(&endpoint.id));
         let by_cost = |a: &&&Endpoint, b: &&&Endpoint| cost(a).total_cmp(&cost(b));
         let mut forced = false;
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -23,10 +23,13 @@
 use crate::gateway::job_fold::Job;
 use crate::gateway::route::Route;
 use crate::gateway::route::RouteTable;
+use crate::gateway::weights::ModelDemand;
 use crate::id::EndpointId;
 use crate::id::GroupId;
 use crate::id::ItemId;
 use crate::id::JobId;
+use crate::id::ModelId;
+use crate::id::PoolId;
 use crate::id::Version;
 use crate::time::Timestamp;
 
@@ -34,6 +37,18 @@
 const RETRY_BACKOFF: Duration = Duration::from_millis(50);
 /// Wait before an item is sent again after an engine refused it as full.
 const FULL_BACKOFF: Duration = Duration::from_millis(30);
+/// Pace of an engine, relative to the usual one, beyond which its items may be moved.
+const SLOW_PACE: f64 = 1.6;
+/// Pace, relative to the usual one, that an item may be moved to.
+const SOUND_PACE: f64 = 1.25;
+/// Least time that a move must save; it costs a connection and reading the output again.
+const MIN_GAIN: Duration = Duration::from_millis(200);
+/// Time that an item stays at an engine before it may be moved.
+const MIN_STAY: Duration = Duration::from_millis(400);
+/// Events that an item is expected to need beyond those that were expected, in percent of them.
+const OVERRUN_PERCENT: usize = 40;
+/// Tokens of one event until some were counted.
+const DEFAULT_EVENT_TOKENS: u64 = 58;
 /// Unfinished items of ended batch jobs whose progress is kept for a later batch job.
 const MAX_CARRIED: usize = 1_024;
 
@@ -113,7 +128,11 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum ItemPhase {
     Waiting { not_before: Timestamp },
-    Running { run: RunNumber, endpoint: EndpointId },
+    Running {
+        run: RunNumber,
+        endpoint: EndpointId,
+        since: Timestamp,
+    },
     Done,
 }
 
@@ -163,6 +182,8 @@
 pub struct Schedule {
     jobs: IndexMap<JobId, ActiveJob>,
     carried: IndexMap<ItemId, (Arc<ItemSpec>, Progress)>,
+    /// Items of the newest batch job of each model.
+    items_by_model: IndexMap<ModelId, u64>,
     last_run: u64,
 }
 
@@ -193,6 +214,10 @@
             };
             items.insert(spec.id.clone(), run);
         }
+        if let Some(model) = &job.spec.model {
+            let count = u64::try_from(job.spec.items.len()).unwrap_or(u64::MAX);
+            self.items_by_model.insert(model.clone(), count);
+        }
         let order = start_order(&job.spec.items, &items);
         let active = ActiveJob {
             spec: Arc::clone(&job.spec),
@@ -260,12 +285,29 @@
         waiting.count()
     }
 
-    /// Returns the oldest version that an open batch job of a model takes.
+    /// Returns what the items of each model need.
     #[must_use]
-    pub fn oldest_needed(&self, model: &crate::id::ModelId) -> Version {
-        let jobs = self.jobs.values().map(|job| &job.spec);
-        let jobs = jobs.filter(|spec| spec.model.as_ref() == Some(model));
-        jobs.map(|spec| spec.min_version).min().unwrap_or_default()
+    pub fn demand(&self) -> IndexMap<ModelId, ModelDemand> {
+        let mut demand: IndexMap<ModelId, ModelDemand> = IndexMap::new();
+        for (model, items) in &self.items_by_model {
+            demand.entry(model.clone()).or_default().items = *items;
+        }
+        for active in self.jobs.values() {
+            let Some(model) = &active.spec.model else {
+                continue;
+            };
+            let demand = demand.entry(model.clone()).or_default();
+            for item in active.items.values() {
+                match &item.phase {
+                    ItemPhase::Waiting { .. } => demand.waiting += 1,
+                    ItemPhase::Running { endpoint, .. } => {
+                        *demand.running.entry(endpoint.clone()).or_default() += 1;
+                    }
+                    ItemPhase::Done => {}
+                }
+            }
+        }
+        demand
     }
 
     /// Chooses the items to start now and marks them as running.
@@ -311,6 +353,7 @@
                 item.phase = ItemPhase::Running {
                     run,
                     endpoint: endpoint.id.clone(),
+                    since: now,
                 };
                 item.last_endpoint = Some(endpoint.id.clone());
                 fleet.started(&endpoint.id);
@@ -357,6 +400,60 @@
         true
     }
 
+    /// Takes items away from slow engines while others have room; returns the runs to stop.
+    ///
+    /// What an item has generated is read by the next engine far faster than it was generated, so
+    /// a move costs little.
+    pub fn move_from_slow(
+        &mut self,
+        now: Timestamp,
+        endpoints: &EndpointTable,
+        fleet: &Fleet,
+    ) -> Vec<RunNumber> {
+        let mut room = free_sound_slots(now, endpoints, fleet);
+        let mut moved = Vec::new();
+        for active in self.jobs.values_mut() {
+            for item in active.items.values_mut() {
+                let ItemPhase::Running {
+                    run,
+                    endpoint,
+                    since,
+                } = &item.phase
+                else {
+                    continue;
+                };
+                let pace = fleet.relative_pace(now, endpoint);
+                if pace < SLOW_PACE || now.since(*since) < MIN_STAY {
+                    continue;
+                }
+                let pool = endpoints.get(endpoint).map(|endpoint| &endpoint.pool);
+                let free = pool.and_then(|pool| room.get_mut(pool));
+                let usual = pool.and_then(|pool| fleet.usual_pace(pool));
+                let (Some(free), Some(usual)) = (free, usual) else {
+                    continue;
+                };
+                let left = u32::try_from(events_left(item)).unwrap_or(u32::MAX);
+                let gain = (usual * left).mul_f64(pace - SOUND_PACE);
+                if *free == 0 || gain < MIN_GAIN {
+                    continue;
+                }
+                *free -= 1;
+                moved.push(*run);
+                item.phase = ItemPhase::Waiting { not_before: now };
+                if let Some(group) = &item.spec.group {
+                    active.group_endpoints.shift_remove(group);
+                }
+            }
+        }
+        moved
+    }
+
+    /// Returns the number of whole events of an item whose run still counts.
+    pub fn events_of(&mut self, start: &Start) -> usize {
+        let item = self.running(start);
+        item.map_or(0, |item| item.progress.events.len())
+    }
+
     /// Takes the end of a run.
     pub fn ended(
         &mut self,
@@ -449,6 +546,33 @@
     })
 }
 
+/// Returns the free slots of engines that aren't slow, by pool.
+fn free_sound_slots(
+    now: Timestamp,
+    endpoints: &EndpointTable,
+    fleet: &Fleet,
+) -> IndexMap<PoolId, u32> {
+    let mut room: IndexMap<PoolId, u32> = IndexMap::new();
+    for endpoint in endpoints.iter().filter(|endpoint| !endpoint.leaving) {
+        if fleet.is_sound(now, &endpoint.id)
+            && fleet.relative_pace(now, &endpoint.id) <= SOUND_PACE
+        {
+            let free = endpoint.slots.saturating_sub(fleet.in_flight(&endpoint.id));
+            *room.entry(endpoint.pool.clone()).or_default() += free;
+        }
+    }
+    room
+}
+
+/// Returns the events that an item is expected to need still.
+fn events_left(item: &ItemRun) -> usize {
+    let done = item.progress.events.len();
+    let expected = item.spec.expected_output_tokens / DEFAULT_EVENT_TOKENS;
+    let expected = usize::try_from(expected).unwrap_or(usize::MAX);
+    let overrun = done.max(expected) * OVERRUN_PERCENT / 100;
+    expected.saturating_sub(done) + overrun
+}
+
 /// Returns whether an item of another batch job asks for the same output.
 fn is_same_work(before: &ItemSpec, now: &ItemSpec) -> bool {
     before.path == now.path && before.body == now.body && before.headers == now.headers
--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -2,8 +2,12 @@
 //!
 //! Orders only say which version to reach; what an engine reports is the truth. Every order names
 //! the number of orders that the engine had accepted, so that one which arrives late, after a
-//! newer one, is refused by the engine. An engine that is too old for the next step is loaded at
-//! once; the others wait until nothing is queued for them.
+//! newer one, is refused by the engine. An engine carries out one order at a time, whatever the
+//! model.
+//!
+//! A step takes the newest version and the one before it, so not every engine needs every version.
+//! Engines are loaded at once while those that the next step can use are too few for its items,
+//! and otherwise when they have nothing to do for the model.
 
 use std::time::Duration;
 
@@ -28,20 +32,33 @@
 const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
 /// Versions that a step may lag behind the newest.
 const ALLOWED_LAG: u64 = 1;
+/// Slots that are kept ready for a step, in percent of its items.
+const SLOTS_PER_ITEM_PERCENT: u64 = 125;
 
 /// Engine as the planner is told of it.
 #[derive(Clone, Debug)]
 pub struct EngineView {
     /// Name of the engine.
     pub endpoint: EndpointId,
-    /// Requests of this instance that it has in progress.
-    pub in_flight: u32,
-    /// Version that its entry in the list names.
-    pub listed_version: Option<Version>,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// Models that it has loaded.
+    pub models: Vec<ModelId>,
     /// When this run of the engine began.
     pub started_unix_ms: u64,
 }
 
+/// What the items of a model need.
+#[derive(Clone, Debug, Default)]
+pub struct ModelDemand {
+    /// Items of the largest batch job lately.
+    pub items: u64,
+    /// Items that wait for an engine.
+    pub waiting: usize,
+    /// Items that run, by engine.
+    pub running: IndexMap<EndpointId, u32>,
+}
+
 /// Something to ask of an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum WeightAction {
@@ -49,8 +66,6 @@
     Inspect {
         /// Engine to ask.
         endpoint: EndpointId,
-        /// Model in question.
-        model: ModelId,
     },
     /// Order a version.
     Order {
@@ -65,17 +80,23 @@
     },
 }
 
-/// What an engine reports of a model.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// What an engine reports.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EngineReport {
-    /// Version of the weights, if the model is loaded.
-    pub version: Option<Version>,
+    /// Versions of the weights of the models that are loaded.
+    pub versions: IndexMap<ModelId, Version>,
     /// Orders that the engine accepted since its start.
     pub accepted_orders: u64,
     /// An order is being carried out.
     pub busy: bool,
 }
 
+impl EngineReport {
+    fn version(&self, model: &ModelId) -> Version {
+        self.versions.get(model).copied().unwrap_or_default()
+    }
+}
+
 /// How an order was answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderOutcome {
@@ -93,103 +114,101 @@
     Unknown,
 }
 
+/// Order that is not known to have ended.
+#[derive(Clone, Debug)]
+struct OpenOrder {
+    model: ModelId,
+    version: Version,
+    given: Timestamp,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Engine {
     started_unix_ms: u64,
     report: Option<EngineReport>,
-    asked: Option<Timestamp>,
-    ordered: Option<(Version, Timestamp)>,
+    /// A question or an order is on its way.
+    asked: bool,
+    order: Option<OpenOrder>,
     not_before: Timestamp,
 }
 
-/// Plans the orders for one model.
-#[derive(Clone, Debug)]
-pub struct WeightPlan {
-    model: ModelId,
-    target: Version,
-    engines: IndexMap<EndpointId, Engine>,
-}
+impl Engine {
+    fn has(&self, model: &ModelId, version: Version) -> bool {
+        let known = self.report.as_ref();
+        known.is_some_and(|report| report.version(model) >= version)
+    }
 
-impl WeightPlan {
-    /// Returns a plan that knows nothing of the engines.
-    #[must_use]
-    pub fn new(model: ModelId) -> Self {
-        Self {
-            model,
-            target: Version(0),
-            engines: IndexMap::new(),
-        }
+    fn loads(&self, model: &ModelId, version: Version) -> bool {
+        let order = self.order.as_ref();
+        order.is_some_and(|order| order.model == *model && order.version >= version)
     }
 
-    /// Takes the newest version that was named; an older one changes nothing.
-    pub fn set_target(&mut self, version: Version) -> bool {
-        let is_newer = version > self.target;
-        self.target = self.target.max(version);
-        is_newer
+    fn is_free(&self, now: Timestamp) -> bool {
+        let idle = self.report.as_ref().is_some_and(|report| !report.busy);
+        idle && self.order.is_none() && !self.asked && now >= self.not_before
     }
+}
 
-    /// Returns the newest version that was named; 0 if none was.
-    #[must_use]
-    pub fn target(&self) -> Version {
-        self.target
+/// Plans the orders to all engines.
+#[derive(Clone, Debug, Default)]
+pub struct WeightPlan {
+    targets: IndexMap<ModelId, Version>,
+    engines: IndexMap<EndpointId, Engine>,
+}
+
+impl WeightPlan {
+    /// Takes the newest version of a model that was named; an older one changes nothing.
+    pub fn set_target(&mut self, model: &ModelId, version: Version) {
+        let target = self.targets.entry(model.clone()).or_default();
+        *target = version.max(*target);
     }
 
     /// Returns the version that an engine has, as far as is known.
     #[must_use]
-    pub fn version_of(&self, endpoint: &EndpointId) -> Option<Version> {
-        self.engines.get(endpoint)?.report?.version
+    pub fn version_of(&self, endpoint: &EndpointId, model: &ModelId) -> Option<Version> {
+        let report = self.engines.get(endpoint)?.report.as_ref()?;
+        report.versions.get(model).copied()
     }
 
-    /// Returns whether an engine is at work on an order.
+    /// Returns whether an engine is at work on an order for a model.
     #[must_use]
-    pub fn is_loading(&self, endpoint: &EndpointId) -> bool {
+    pub fn is_loading(&self, endpoint: &EndpointId, model: &ModelId) -> bool {
         let engine = self.engines.get(endpoint);
-        engine.is_some_and(|engine| engine.ordered.is_some())
+        engine.is_some_and(|engine| engine.loads(model, Version(0)))
     }
 
     /// Takes a version that an engine's own answer named.
-    pub fn note_version(&mut self, endpoint: &EndpointId, version: Version) {
-        let report = self.engines.get_mut(endpoint).and_then(|e| e.report.as_mut());
-        if let Some(report) = report.filter(|report| report.version < Some(version)) {
-            report.version = Some(version);
+    pub fn note_version(&mut self, endpoint: &EndpointId, model: &ModelId, version: Version) {
+        let engine = self.engines.get_mut(endpoint);
+        let report = engine.and_then(|engine| engine.report.as_mut());
+        if let Some(report) = report.filter(|report| report.version(model) < version) {
+            report.versions.insert(model.clone(), version);
         }
     }
 
     /// Returns what to ask of the engines now.
-    ///
-    /// `idle` says that no item waits for an engine; `oldest_needed` is the oldest version that an
-    /// open batch job takes.
     pub fn next_actions(
         &mut self,
         now: Timestamp,
         views: &[EngineView],
-        idle: bool,
-        oldest_needed: Version,
+        demand: &IndexMap<ModelId, ModelDemand>,
     ) -> Vec<WeightAction> {
         self.forget_gone(views);
-        if self.target.0 == 0 {
-            return Vec::new();
-        }
         let mut actions = Vec::new();
+        if self.targets.is_empty() {
+            return actions;
+        }
         for view in views {
             actions.extend(self.inspection(now, view));
         }
-        let loading = self.engines.values().filter(|e| e.ordered.is_some());
         let at_once = (views.len() / ENGINES_PER_LOAD).max(MIN_LOADS_AT_ONCE);
+        let loading = self.engines.values().filter(|engine| engine.order.is_some());
         let free = at_once.saturating_sub(loading.count());
-        let mut due = self.due_orders(now, views, idle, oldest_needed);
-        due.truncate(free);
-        for (_, _, endpoint, expected_orders) in due {
-            if let Some(engine) = self.engines.get_mut(&endpoint) {
-                engine.ordered = Some((self.target, now));
-                engine.asked = Some(now);
-            }
-            actions.push(WeightAction::Order {
-                endpoint,
-                model: self.model.clone(),
-                version: self.target,
-                expected_orders,
-            });
+        for _ in 0..free {
+            let Some((endpoint, model)) = self.next_load(now, views, demand) else {
+                break;
+            };
+            actions.extend(self.give(now, endpoint, model));
         }
         actions
     }
@@ -204,20 +223,22 @@
         let Some(engine) = self.engines.get_mut(endpoint) else {
             return;
         };
-        engine.asked = None;
+        engine.asked = false;
         let Some(report) = report else {
             engine.not_before = now + FAILURE_BACKOFF;
             return;
         };
-        engine.report = Some(report);
         engine.not_before = now + CHECK_INTERVAL;
-        if let Some((version, ordered_at)) = engine.ordered {
-            let reached = report.version >= Some(version) && !report.busy;
-            let idle = !report.busy && now.since(ordered_at) >= FIRST_CHECK;
-            if reached || idle || now.since(ordered_at) >= LOAD_TIMEOUT {
-                engine.ordered = None;
+        if let Some(order) = &engine.order {
+            let age = now.since(order.given);
+            let reached = report.version(&order.model) >= order.version;
+            let ended = !report.busy && (reached || age >= FIRST_CHECK);
+            if ended || age >= LOAD_TIMEOUT {
+                engine.order = None;
+                engine.not_before = now;
             }
         }
+        engine.report = Some(report);
     }
 
     /// Takes how an order was answered.
@@ -225,7 +246,7 @@
         let Some(engine) = self.engines.get_mut(endpoint) else {
             return;
         };
-        engine.asked = None;
+        engine.asked = false;
         match outcome {
             OrderOutcome::Accepted => {
                 if let Some(report) = engine.report.as_mut() {
@@ -235,14 +256,13 @@
                 engine.not_before = now + FIRST_CHECK;
             }
             OrderOutcome::AlreadyHolds => {
-                if let (Some(report), Some((version, _))) = (engine.report.as_mut(), engine.ordered)
-                {
-                    report.version = Some(version);
+                let order = engine.order.take();
+                if let (Some(report), Some(order)) = (engine.report.as_mut(), order) {
+                    report.versions.insert(order.model, order.version);
                 }
-                engine.ordered = None;
             }
             OrderOutcome::Conflict | OrderOutcome::Refused | OrderOutcome::Fenced => {
-                engine.ordered = None;
+                engine.order = None;
                 engine.report = None;
                 engine.not_before = now + CHECK_INTERVAL;
             }
@@ -271,49 +291,96 @@
     /// Returns a question to an engine whose state is not known or that loads.
     fn inspection(&mut self, now: Timestamp, view: &EngineView) -> Option<WeightAction> {
         let engine = self.engines.get_mut(&view.endpoint)?;
-        let unknown = engine.report.is_none_or(|report| report.busy);
-        let wanted = unknown || engine.ordered.is_some();
-        if !wanted || engine.asked.is_some() || now < engine.not_before {
+        let unknown = engine.report.as_ref().is_none_or(|report| report.busy);
+        let wanted = unknown || engine.order.is_some();
+        if !wanted || engine.asked || now < engine.not_before {
             return None;
         }
-        engine.asked = Some(now);
+        engine.asked = true;
         Some(WeightAction::Inspect {
             endpoint: view.endpoint.clone(),
-            model: self.model.clone(),
         })
     }
 
-    /// Returns the engines to order, the most urgent first.
-    fn due_orders(
+    /// Returns the engine to load next, and the model.
+    fn next_load(
         &self,
         now: Timestamp,
         views: &[EngineView],
-        idle: bool,
-        oldest_needed: Version,
-    ) -> Vec<(Version, u32, EndpointId, u64)> {
-        // The step that follows takes the newest version and those before it within the lag.
-        let next_needed = Version(self.target.0.saturating_sub(ALLOWED_LAG));
-        let needed = next_needed.max(oldest_needed);
-        let mut due = Vec::new();
-        for view in views {
-            let Some(engine) = self.engines.get(&view.endpoint) else {
-                continue;
-            };
-            let Some(report) = engine.report.filter(|report| !report.busy) else {
-                continue;
-            };
-            if engine.ordered.is_some() || engine.asked.is_some() || now < engine.not_before {
+        demand: &IndexMap<ModelId, ModelDemand>,
+    ) -> Option<(EndpointId, ModelId)> {
+        let nothing = ModelDemand::default();
+        let mut best: Option<(u64, Version, u32, &EndpointId, &ModelId)> = None;
+        for (model, target) in &self.targets {
+            let demand = demand.get(model).unwrap_or(&nothing);
+            let hosts = || views.iter().filter(|view| view.models.contains(model));
+            let all: u64 = hosts().map(|view| u64::from(view.slots)).sum();
+            let wanted = all.min(demand.items.max(1) * SLOTS_PER_ITEM_PERCENT / 100);
+            // The step that follows takes the newest version and the one before it.
+            let needed = Version(target.0.saturating_sub(ALLOWED_LAG));
+            let usable = self.slots_with(hosts(), model, needed);
+            if self.slots_with(hosts(), model, *target) >= wanted {
                 continue;
             }
-            let version = report.version.unwrap_or_default();
-            let is_behind = version < self.target;
-            let is_urgent = version < needed;
-            if is_behind && (is_urgent || (idle && view.in_flight == 0)) {
-                let endpoint = view.endpoint.clone();
-                due.push((version, view.in_flight, endpoint, report.accepted_orders));
+            let urgent = usable < wanted;
+            let covered = if urgent { usable * 100 / wanted.max(1) } else { 100 };
+            for view in hosts() {
+                let Some(engine) = self.engines.get(&view.endpoint) else {
+                    continue;
+                };
+                let running = demand.running.get(&view.endpoint).copied().unwrap_or(0);
+                let is_useful = if urgent {
+                    !engine.has(model, needed)
+                } else {
+                    !engine.has(model, *target) && demand.waiting == 0 && running == 0
+                };
+                if !is_useful || !engine.is_free(now) {
+                    continue;
+                }
+                let version = engine.report.as_ref().map(|r| r.version(model));
+                let rank = (covered, version.unwrap_or_default(), running);
+                if best.is_none_or(|best| rank < (best.0, best.1, best.2)) {
+                    best = Some((rank.0, rank.1, rank.2, &view.endpoint, model));
+                }
             }
         }
-        due.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
-        due
+        best.map(|(_, _, _, endpoint, model)| (endpoint.clone(), model.clone()))
+    }
+
+    /// Returns the slots of engines that have a version or are loading it.
+    fn slots_with<'a>(
+        &self,
+        hosts: impl Iterator<Item = &'a EngineView>,
+        model: &ModelId,
+        version: Version,
+    ) -> u64 {
+        let ready = hosts.filter(|view| {
+            let engine = self.engines.get(&view.endpoint);
+            engine.is_some_and(|e| e.has(model, version) || e.loads(model, version))
+        });
+        ready.map(|view| u64::from(view.slots)).sum()
+    }
+
+    fn give(
+        &mut self,
+        now: Timestamp,
+        endpoint: EndpointId,
+        model: ModelId,
+    ) -> Option<WeightAction> {
+        let version = *self.targets.get(&model)?;
+        let engine = self.engines.get_mut(&endpoint)?;
+        engine.order = Some(OpenOrder {
+            model: model.clone(),
+            version,
+            given: now,
+        });
+        engine.asked = true;
+        let expected_orders = engine.report.as_ref()?.accepted_orders;
+        Some(WeightAction::Order {
+            endpoint,
+            model,
+            version,
+            expected_orders,
+        })
     }
 }
--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -86,7 +86,12 @@
     let (stop_sender, stop) = watch::channel(false);
     let share = f64::from(settings.processor_share_milli.min(1_000)) / 1_000.0;
     let handicap = MAX_HANDICAP.mul_f64(1.0 - share);
-    let duty = Duty::new(settings.instance.clone(), settings.lease, handicap);
+    let duty = Duty::new(
+        settings.instance.clone(),
+        settings.host.clone(),
+        settings.order_gap,
+        handicap,
+    );
     log::info!(
         instance:% = settings.instance, availability_zone:% = settings.availability_zone,
         callers:% = settings.caller_address, readiness:% = settings.readiness_address;
@@ -176,7 +181,7 @@
             log::warn!("addresses changed in the settings; they count from the next start");
         }
         log::info!(
-            lease_ms = settings.lease.as_millis(), grace_ms = settings.shutdown_grace.as_millis(),
+            order_gap_ms = settings.order_gap.as_millis(), grace_ms = settings.shutdown_grace.as_millis(),
             result_retention_ms = settings.result_retention.as_millis();
             "settings in force"
         );
--- a/wisteriaford_gateway/src/border.rs
+++ b/wisteriaford_gateway/src/border.rs
@@ -350,12 +350,12 @@
     /// Returns the request for an engine's state.
     fn inspection(&self, endpoint: &EndpointId) -> EndpointRequest;
 
-    /// Decodes an engine's state with respect to a model.
+    /// Decodes an engine's state.
     ///
     /// # Errors
     ///
     /// Fails on an answer that isn't one.
-    fn report(&self, model: &ModelId, body: &[u8]) -> Result<EngineReport, DecodeError>;
+    fn report(&self, body: &[u8]) -> Result<EngineReport, DecodeError>;
 
     /// Returns the order to load a version.
     fn order(&self, order: &WeightOrder) -> EndpointRequest;
--- a/wisteriaford_gateway/src/orders.rs
+++ b/wisteriaford_gateway/src/orders.rs
@@ -8,7 +8,6 @@
 use wisteriaford_core::gateway::weights::EngineView;
 use wisteriaford_core::gateway::weights::OrderOutcome;
 use wisteriaford_core::gateway::weights::WeightAction;
-use wisteriaford_core::gateway::weights::WeightPlan;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::ModelId;
 use wisteriaford_core::id::Version;
@@ -41,45 +40,32 @@
 
 fn due(gateway: &Gateway) -> Vec<WeightAction> {
     let view = gateway.view.load();
-    let schedule = gateway.schedule();
-    let idle = schedule.waiting() == 0;
-    let mut actions = Vec::new();
-    let mut plans = gateway.plans();
+    let demand = gateway.schedule().demand();
+    let mut plan = gateway.plan();
     for (model, version) in view.weights.iter() {
-        let plan = plans
-            .entry(model.clone())
-            .or_insert_with(|| WeightPlan::new(model.clone()));
-        plan.set_target(*version);
-        let views = engine_views(gateway, model);
-        let oldest_needed = schedule.oldest_needed(model);
-        actions.extend(plan.next_actions(clock::now(), &views, idle, oldest_needed));
+        plan.set_target(model, *version);
     }
-    actions
+    plan.next_actions(clock::now(), &engine_views(gateway), &demand)
 }
 
-fn engine_views(gateway: &Gateway, model: &ModelId) -> Vec<EngineView> {
+fn engine_views(gateway: &Gateway) -> Vec<EngineView> {
     let view = gateway.view.load();
-    let fleet = gateway.fleet();
-    let engines = view.endpoints.iter().filter(|endpoint| !endpoint.leaving);
-    let views = engines.filter_map(|endpoint| {
-        let (_, version) = endpoint.weights.iter().find(|(name, _)| name == model)?;
-        Some(EngineView {
-            endpoint: endpoint.id.clone(),
-            in_flight: fleet.in_flight(&endpoint.id),
-            listed_version: Some(*version),
-            started_unix_ms: endpoint.started_unix_ms,
-        })
+    let engines = view.endpoints.iter();
+    let engines = engines.filter(|endpoint| !endpoint.leaving && !endpoint.weights.is_empty());
+    let views = engines.map(|endpoint| EngineView {
+        endpoint: endpoint.id.clone(),
+        slots: endpoint.slots,
+        models: endpoint.weights.iter().map(|(m, _)| m.clone()).collect(),
+        started_unix_ms: endpoint.started_unix_ms,
     });
     views.collect()
 }
 
 async fn carry_out(gateway: Arc<Gateway>, action: WeightAction) {
     match action {
-        WeightAction::Inspect { endpoint, model } => {
-            let report = inspect(&gateway, &endpoint, &model).await;
-            if let Some(plan) = gateway.plans().get_mut(&model) {
-                plan.reported(clock::now(), &endpoint, report);
-            }
+        WeightAction::Inspect { endpoint } => {
+            let report = inspect(&gateway, &endpoint).await;
+            gateway.plan().reported(clock::now(), &endpoint, report);
             gateway.runner_wake.notify_one();
         }
         WeightAction::Order {
@@ -89,9 +75,7 @@
             expected_orders,
         } => {
             let outcome = order(&gateway, &endpoint, &model, version, expected_orders).await;
-            if let Some(plan) = gateway.plans().get_mut(&model) {
-                plan.answered(clock::now(), &endpoint, outcome);
-            }
+            gateway.plan().answered(clock::now(), &endpoint, outcome);
         }
     }
 }
@@ -101,11 +85,7 @@
     view.endpoints.get(endpoint).map(|endpoint| endpoint.address)
 }
 
-async fn inspect(
-    gateway: &Gateway,
-    endpoint: &EndpointId,
-    model: &ModelId,
-) -> Option<EngineReport> {
+async fn inspect(gateway: &Gateway, endpoint: &EndpointId) -> Option<EngineReport> {
     let address = address_of(gateway, endpoint)?;
     let request = gateway.endpoints.inspection(endpoint);
     let called = gateway
@@ -115,7 +95,7 @@
     let report = match called {
         Ok(answer) if answer.status.is_success() => gateway
             .endpoints
-            .report(model, &answer.body)
+            .report(&answer.body)
             .map_err(|error| error.to_string()),
         Ok(answer) => Err(format!("status {}", answer.status)),
         Err(error) => Err(error.to_string()),
@@ -123,8 +103,8 @@
     match report {
         Ok(report) => {
             log::debug!(
-                endpoint:% = endpoint, model:% = model, busy = report.busy,
-                version = report.version.unwrap_or_default().0, orders = report.accepted_orders;
+                endpoint:% = endpoint, busy = report.busy, versions:? = report.versions,
+                orders = report.accepted_orders;
                 "engine reported"
             );
             Some(report)
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -70,6 +70,16 @@
         );
         gateway.outbox.push(finished);
     }
+    let moved = {
+        let view = gateway.view.load();
+        let mut schedule = gateway.schedule();
+        schedule.move_from_slow(clock::now(), &view.endpoints, &gateway.fleet())
+    };
+    if !moved.is_empty() {
+        gateway.metrics.moved_items.add(moved.len() as u64, &[]);
+        log::info!(items = moved.len(); "items taken from slow engines");
+        stop_runs(runs, &moved);
+    }
     for start in starts(gateway) {
         let run = start.run;
         let task = tokio::spawn(run_item(Arc::clone(gateway), start));
@@ -118,16 +128,15 @@
 
 fn starts(gateway: &Gateway) -> Vec<Start> {
     let view = gateway.view.load();
-    let plans = gateway.plans();
+    let plan = gateway.plan();
     let accepts = |endpoint: &Endpoint, job: &JobSpec, exact: Option<Version>| {
         let Some(model) = &job.model else {
             return true;
         };
-        let plan = plans.get(model);
-        if plan.is_some_and(|plan| plan.is_loading(&endpoint.id)) {
+        if plan.is_loading(&endpoint.id, model) {
             return false;
         }
-        let known = plan.and_then(|plan| plan.version_of(&endpoint.id));
+        let known = plan.version_of(&endpoint.id, model);
         let listed = endpoint.weights.iter().find(|(name, _)| name == model);
         let version = known.or(listed.map(|(_, version)| *version));
         version.is_none_or(|version| match exact {
@@ -163,11 +172,13 @@
         view.routes.find(&start.job.host, &start.item.path).cloned()
     };
     let max_failures = route.map_or(u32::MAX, |route| route.max_attempts.max(1));
+    let events = gateway.schedule().events_of(&start);
     let end = gateway.schedule().ended(now, &start, outcome, max_failures);
     log::info!(
         job:% = start.job.id, item:% = start.item.id, endpoint:% = start.endpoint.id,
         outcome:? = outcome, cause:% = cause.unwrap_or_default(), after_event = start.after_event,
-        in_flight = start.reason.in_flight, relative_pace = start.reason.relative_pace,
+        expected_tokens = start.item.expected_output_tokens, tokens = start.item.tokens,
+        events = events, in_flight = start.reason.in_flight, relative_pace = start.reason.relative_pace,
         took_ms = now.since(started).as_millis();
         "item run ended"
     );
@@ -248,10 +259,8 @@
     let (Some(version), true) = (facts.version, answer.response.status().is_success()) else {
         return Ok(());
     };
-    if let Some(model) = &start.job.model
-        && let Some(plan) = gateway.plans().get_mut(model)
-    {
-        plan.note_version(&start.endpoint.id, version);
+    if let Some(model) = &start.job.model {
+        gateway.plan().note_version(&start.endpoint.id, model, version);
     }
     let wrong = version < start.min_version || start.exact_version.is_some_and(|v| v != version);
     if wrong {
@@ -311,7 +320,9 @@
             version = named.or(version);
             let Some(id) = event.id else { continue };
             let now = clock::now();
-            note_pace(gateway, start, now.since(last_event_at));
+            if !is_loading(gateway, start) {
+                note_pace(gateway, start, now.since(last_event_at));
+            }
             last_event_at = now;
             if !gateway.schedule().event(start, id, event.data, version) {
                 return Err(failure(RunOutcome::Broken, "no longer needed"));
@@ -327,12 +338,14 @@
 }
 
 fn silence_of(gateway: &Gateway, start: &Start) -> Duration {
-    let model = start.job.model.as_ref();
-    let plans = gateway.plans();
-    let plan = model.and_then(|model| plans.get(model));
-    if plan.is_some_and(|plan| plan.is_loading(&start.endpoint.id)) {
+    if is_loading(gateway, start) {
         LOADING_SILENCE
     } else {
         SILENCE
     }
 }
+
+fn is_loading(gateway: &Gateway, start: &Start) -> bool {
+    let model = start.job.model.as_ref();
+    model.is_some_and(|model| gateway.plan().is_loading(&start.endpoint.id, model))
+}
--- a/wisteriaford_gateway/src/settings.rs
+++ b/wisteriaford_gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use wisteriaford_core::id::AvailabilityZone;
 use wisteriaford_core::id::InstanceId;
 
@@ -11,6 +12,8 @@
 pub struct GatewaySettings {
     /// This run of the daemon.
     pub instance: InstanceId,
+    /// Name of its machine, which stays the same when the daemon starts again.
+    pub host: CompactString,
     /// Availability zone that it runs in.
     pub availability_zone: AvailabilityZone,
     /// Address that callers connect to.
@@ -21,8 +24,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Time between the signal to stop and the end of the process.
     pub shutdown_grace: Duration,
-    /// Time that a lease lasts after its renewal.
-    pub lease: Duration,
+    /// Time between the orders of holders of different machines.
+    pub order_gap: Duration,
     /// Time that results of a batch job are kept after its submission.
     pub result_retention: Duration,
     /// Time within which an accepted batch job must be known at every instance.
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -109,7 +109,7 @@
     jobs: Mutex<JobFold>,
     duty: Mutex<Duty>,
     schedule: Mutex<Schedule>,
-    plans: Mutex<IndexMap<ModelId, WeightPlan>>,
+    plan: Mutex<WeightPlan>,
     freshness: [Freshness; 4],
     counter: AtomicU64,
 }
@@ -146,7 +146,7 @@
             jobs: Mutex::default(),
             duty: Mutex::new(duty),
             schedule: Mutex::default(),
-            plans: Mutex::default(),
+            plan: Mutex::default(),
             freshness: Default::default(),
             counter: AtomicU64::new(0),
         }
@@ -168,8 +168,8 @@
         lock(&self.schedule)
     }
 
-    pub(crate) fn plans(&self) -> MutexGuard<'_, IndexMap<ModelId, WeightPlan>> {
-        lock(&self.plans)
+    pub(crate) fn plan(&self) -> MutexGuard<'_, WeightPlan> {
+        lock(&self.plan)
     }
 
     pub(crate) fn freshness(&self, topic: Topic) -> &Freshness {
