Call the log by way of peers, run items under a short lease, move them from slow engines

Cause: a holder that was cut from the store ran on beside its successor (both ran every item), and instances that the store turned away refused or failed what others could serve.

--- a/wisteriaford_core/src/gateway/duty.rs
+++ b/wisteriaford_core/src/gateway/duty.rs
@@ -145,6 +145,15 @@
         mine.then_some(term.fence)
     }
 
+    /// Returns whether this instance may run items.
+    ///
+    /// While the log is out of everyone's reach nobody can take the duty over, so its holder goes
+    /// on beyond its lease. One that is `isolated` can't know that, and stops.
+    #[must_use]
+    pub fn may_run(&self, now: Timestamp, isolated: bool) -> bool {
+        self.held().is_some() && (!isolated || now < self.valid_until)
+    }
+
     /// Returns the fencing number while orders may be given under it.
     #[must_use]
     pub fn may_order(&self, now: Timestamp) -> Option<Fence> {
--- a/wisteriaford_core/src/gateway/fleet.rs
+++ b/wisteriaford_core/src/gateway/fleet.rs
@@ -154,7 +154,10 @@
         taken: Duration,
     ) {
         let micros = taken.as_secs_f64() * 1e6;
-        let usual = self.usual.entry(pool.clone()).or_insert(UsualPace { micros });
+        let usual = self
+            .usual
+            .entry(pool.clone())
+            .or_insert(UsualPace { micros });
         // Slow endpoints move the usual pace less than fast ones, so it stays that of sound ones.
         let weight = if micros > usual.micros { 0.01 } else { 0.1 };
         usual.micros += (micros - usual.micros) * weight;
@@ -205,7 +208,9 @@
     /// Returns the pace of an endpoint relative to the usual one of its pool.
     #[must_use]
     pub fn relative_pace(&self, now: Timestamp, endpoint: &EndpointId) -> f64 {
-        self.observed.get(endpoint).map_or(1.0, |seen| seen.pace(now))
+        self.observed
+            .get(endpoint)
+            .map_or(1.0, |seen| seen.pace(now))
     }
 
     /// Returns the usual time that a unit of work takes in a pool.
--- a/wisteriaford_core/src/gateway/job_fold.rs
+++ b/wisteriaford_core/src/gateway/job_fold.rs
@@ -256,7 +256,9 @@
     }
 
     fn delete(&mut self, key: &str) -> JobChange {
-        let name = key.strip_prefix("job/").and_then(|rest| rest.rsplit_once('/'));
+        let name = key
+            .strip_prefix("job/")
+            .and_then(|rest| rest.rsplit_once('/'));
         let Some((id, _submission)) = name else {
             return JobChange::Nothing;
         };
--- a/wisteriaford_core/src/gateway/record.rs
+++ b/wisteriaford_core/src/gateway/record.rs
@@ -100,7 +100,12 @@
         let item_bytes = item.encoded_len() + 8;
         if !items.is_empty() && size_bytes + item_bytes > room_bytes {
             let part = records.len();
-            records.push(items_record(job, submission, part, std::mem::take(&mut items)));
+            records.push(items_record(
+                job,
+                submission,
+                part,
+                std::mem::take(&mut items),
+            ));
             size_bytes = 0;
         }
         size_bytes += item_bytes;
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -42,7 +42,7 @@
 /// Pace, relative to the usual one, that an item may be moved to.
 const SOUND_PACE: f64 = 1.25;
 /// Least time that a move must save; it costs a connection and reading the output again.
-const MIN_GAIN: Duration = Duration::from_millis(200);
+const MIN_GAIN: Duration = Duration::from_millis(500);
 /// Time that an item stays at an engine before it may be moved.
 const MIN_STAY: Duration = Duration::from_millis(400);
 /// Events that an item is expected to need beyond those that were expected, in percent of them.
@@ -127,7 +127,9 @@
 
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum ItemPhase {
-    Waiting { not_before: Timestamp },
+    Waiting {
+        not_before: Timestamp,
+    },
     Running {
         run: RunNumber,
         endpoint: EndpointId,
@@ -200,7 +202,9 @@
             }
             let kept = self.carried.shift_remove(&spec.id);
             let kept = kept.filter(|(before, _)| is_same_work(before, spec));
-            let progress = kept.map(|(_, progress)| progress).or_else(|| reusable(spec));
+            let progress = kept
+                .map(|(_, progress)| progress)
+                .or_else(|| reusable(spec));
             let min_version = job.spec.min_version;
             let progress = progress.filter(|p| p.versions.iter().all(|v| *v >= min_version));
             let run = ItemRun {
@@ -389,7 +393,11 @@
         let Some(item) = self.running(start) else {
             return false;
         };
-        if item.progress.last_event.is_some_and(|last| event_id <= last) {
+        if item
+            .progress
+            .last_event
+            .is_some_and(|last| event_id <= last)
+        {
             return true;
         }
         item.progress.events.push(data);
@@ -533,8 +541,16 @@
     item.phase = ItemPhase::Done;
     let progress = std::mem::take(&mut item.progress);
     let is_complete = state == ItemState::Completed;
-    let text = if is_complete { progress.text() } else { String::new() };
-    let versions = if is_complete { progress.versions } else { Vec::new() };
+    let text = if is_complete {
+        progress.text()
+    } else {
+        String::new()
+    };
+    let versions = if is_complete {
+        progress.versions
+    } else {
+        Vec::new()
+    };
     RunEnd::Finished(Finished {
         job: start.job.id.clone(),
         result: ItemResult {
@@ -554,8 +570,7 @@
 ) -> IndexMap<PoolId, u32> {
     let mut room: IndexMap<PoolId, u32> = IndexMap::new();
     for endpoint in endpoints.iter().filter(|endpoint| !endpoint.leaving) {
-        if fleet.is_sound(now, &endpoint.id)
-            && fleet.relative_pace(now, &endpoint.id) <= SOUND_PACE
+        if fleet.is_sound(now, &endpoint.id) && fleet.relative_pace(now, &endpoint.id) <= SOUND_PACE
         {
             let free = endpoint.slots.saturating_sub(fleet.in_flight(&endpoint.id));
             *room.entry(endpoint.pool.clone()).or_default() += free;
@@ -624,7 +639,9 @@
     let mut order: Vec<&Arc<ItemSpec>> = specs.iter().collect();
     order.retain(|spec| items.contains_key(&spec.id));
     order.sort_by_key(|spec| {
-        let is_carried = items.get(&spec.id).is_some_and(|i| i.progress.last_event.is_some());
+        let is_carried = items
+            .get(&spec.id)
+            .is_some_and(|i| i.progress.last_event.is_some());
         let expected = longest.get(&spec.group.as_ref()).copied().unwrap_or(0);
         (!is_carried, std::cmp::Reverse(expected))
     });
--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -202,7 +202,10 @@
             actions.extend(self.inspection(now, view));
         }
         let at_once = (views.len() / ENGINES_PER_LOAD).max(MIN_LOADS_AT_ONCE);
-        let loading = self.engines.values().filter(|engine| engine.order.is_some());
+        let loading = self
+            .engines
+            .values()
+            .filter(|engine| engine.order.is_some());
         let free = at_once.saturating_sub(loading.count());
         for _ in 0..free {
             let Some((endpoint, model)) = self.next_load(now, views, demand) else {
@@ -323,7 +326,11 @@
                 continue;
             }
             let urgent = usable < wanted;
-            let covered = if urgent { usable * 100 / wanted.max(1) } else { 100 };
+            let covered = if urgent {
+                usable * 100 / wanted.max(1)
+            } else {
+                100
+            };
             for view in hosts() {
                 let Some(engine) = self.engines.get(&view.endpoint) else {
                     continue;
--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -30,6 +30,8 @@
 use crate::metrics::Metrics;
 use crate::orders;
 use crate::outbox;
+use crate::peers;
+use crate::peers::PeerFollower;
 use crate::runner;
 use crate::server;
 use crate::settings::GatewaySettings;
@@ -133,6 +135,9 @@
         let jobs = JobFollower {
             gateway: Arc::clone(&following),
         };
+        let instances = PeerFollower {
+            gateway: Arc::clone(&following),
+        };
         let duty = DutyFollower {
             gateway: Arc::clone(&following),
         };
@@ -141,8 +146,15 @@
             follow(&following, endpoints),
             follow(&following, jobs),
             follow(&following, duty),
+            follow(&following, instances),
         );
     });
+    if let Some(address) = gateway.settings.load().peer_address {
+        tokio::spawn(peers::serve(Arc::clone(gateway), address));
+        tokio::spawn(peers::publish(Arc::clone(gateway)));
+    }
+    let relayed = Arc::clone(gateway);
+    tokio::spawn(async move { relayed.log.probe().await });
     tokio::spawn(duty_task::run(Arc::clone(gateway)));
     tokio::spawn(runner::run(Arc::clone(gateway)));
     tokio::spawn(orders::run(Arc::clone(gateway)));
@@ -157,7 +169,11 @@
         tokio::time::sleep(PRUNE_INTERVAL).await;
         let view = gateway.view.load();
         let is_endpoint = |peer: &str| view.endpoints.get(&peer.into()).is_some();
-        gateway.client.prune(|peer| peer.is_empty() || is_endpoint(peer));
+        let peers = gateway.log.peers();
+        let is_peer = |peer: &str| peer.is_empty() || peers.contains_key(peer);
+        gateway
+            .client
+            .prune(|peer| is_peer(peer) || is_endpoint(peer));
     }
 }
 
--- a/wisteriaford_gateway/src/border.rs
+++ b/wisteriaford_gateway/src/border.rs
@@ -43,6 +43,9 @@
     /// Lease of the runner's duty.
     #[display("duty")]
     Duty,
+    /// Addresses of the instances.
+    #[display("instances")]
+    Instances,
 }
 
 /// Record of the log.
--- a/wisteriaford_gateway/src/caller_jobs.rs
+++ b/wisteriaford_gateway/src/caller_jobs.rs
@@ -16,6 +16,7 @@
 use wisteriaford_core::time::Timestamp;
 
 use crate::border::CallerHead;
+use crate::border::Log;
 use crate::border::LogError;
 use crate::border::ResultsPage;
 use crate::border::Topic;
--- a/wisteriaford_gateway/src/clock.rs
+++ b/wisteriaford_gateway/src/clock.rs
@@ -20,5 +20,7 @@
 #[must_use]
 pub fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+    since_epoch.map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    })
 }
--- a/wisteriaford_gateway/src/connection_pool.rs
+++ b/wisteriaford_gateway/src/connection_pool.rs
@@ -119,7 +119,9 @@
         connection: Connection,
         keep_alive: Option<Duration>,
     ) {
-        let idle_time = keep_alive.unwrap_or(DEFAULT_IDLE).saturating_sub(IDLE_MARGIN);
+        let idle_time = keep_alive
+            .unwrap_or(DEFAULT_IDLE)
+            .saturating_sub(IDLE_MARGIN);
         if idle_time.is_zero() || connection.sender.is_closed() {
             return;
         }
--- a/wisteriaford_gateway/src/duty_task.rs
+++ b/wisteriaford_gateway/src/duty_task.rs
@@ -9,6 +9,7 @@
 use wisteriaford_core::id::Offset;
 use wisteriaford_core::time::Timestamp;
 
+use crate::border::Log;
 use crate::border::LogRecord;
 use crate::border::Topic;
 use crate::clock;
@@ -87,7 +88,10 @@
                 key: DUTY_KEY.into(),
                 value: Some(due.value.clone()),
             };
-            let appended = gateway.log.append(Topic::Duty, vec![record], Some(due.at)).await;
+            let appended = gateway
+                .log
+                .append(Topic::Duty, vec![record], Some(due.at))
+                .await;
             let outcome = match &appended {
                 Ok(_) => DutyOutcome::Appended,
                 Err(error) if error.may_have_effect() => DutyOutcome::Unknown,
--- a/wisteriaford_gateway/src/event_stream.rs
+++ b/wisteriaford_gateway/src/event_stream.rs
@@ -47,7 +47,9 @@
     /// Returns the next whole event, if it has arrived.
     pub(crate) fn next_event(&mut self) -> Result<Option<Event>, EventError> {
         let from = self.scanned.saturating_sub(1);
-        let end = self.buffer[from..].windows(2).position(|pair| pair == b"\n\n");
+        let end = self.buffer[from..]
+            .windows(2)
+            .position(|pair| pair == b"\n\n");
         let Some(end) = end.map(|at| from + at + 2) else {
             self.scanned = self.buffer.len();
             if self.buffer.len() > MAX_EVENT_BYTES {
--- a/wisteriaford_gateway/src/follow.rs
+++ b/wisteriaford_gateway/src/follow.rs
@@ -8,6 +8,7 @@
 use wisteriaford_core::id::Offset;
 use wisteriaford_core::time::Timestamp;
 
+use crate::border::Log;
 use crate::border::LogError;
 use crate::border::LogRecord;
 use crate::border::Topic;
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -265,11 +265,7 @@
 }
 
 /// Chooses the endpoint of the next attempt, and counts it.
-fn next_endpoint(
-    gateway: &Gateway,
-    call: &Call<'_>,
-    progress: &mut Progress,
-) -> Option<Endpoint> {
+fn next_endpoint(gateway: &Gateway, call: &Call<'_>, progress: &mut Progress) -> Option<Endpoint> {
     let max_attempts = usize::try_from(call.route.max_attempts).unwrap_or(usize::MAX);
     if progress.tried.len() >= max_attempts.max(1) {
         return None;
@@ -287,8 +283,7 @@
         let endpoint = view.endpoints.get(id);
         endpoint.map_or(0, |e| gateway.client.idle_count(id.as_str(), e.address))
     };
-    let (endpoint, reason) =
-        fleet.choose(clock::now(), &view.endpoints, &query, idle, |_| true)?;
+    let (endpoint, reason) = fleet.choose(clock::now(), &view.endpoints, &query, idle, |_| true)?;
     fleet.started(&endpoint.id);
     log::debug!(
         request:% = call.head.request, endpoint:% = endpoint.id, in_flight = reason.in_flight,
@@ -385,12 +380,18 @@
 
 fn facts_of(gateway: &Gateway, answer: &OpenAnswer) -> AnswerFacts {
     let response = &answer.response;
-    gateway.endpoints.answer(response.status(), response.headers())
+    gateway
+        .endpoints
+        .answer(response.status(), response.headers())
 }
 
 /// Returns why an answer can't be the one to this call.
 fn fault_of(call: &Call<'_>, facts: &AnswerFacts) -> Option<CallError> {
-    if facts.request.as_ref().is_some_and(|id| *id != call.head.request) {
+    if facts
+        .request
+        .as_ref()
+        .is_some_and(|id| *id != call.head.request)
+    {
         return Some(CallError::lost("the answer belongs to another request"));
     }
     let is_unsigned = !facts.genuine && !facts.not_run;
--- a/wisteriaford_gateway/src/logger.rs
+++ b/wisteriaford_gateway/src/logger.rs
@@ -154,7 +154,11 @@
         while let Ok(next) = lines.try_recv() {
             line.extend_from_slice(&next);
         }
-        if output.write_all(&line).and_then(|()| output.flush()).is_err() {
+        if output
+            .write_all(&line)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
             // Nobody reads standard output; there is no other place to say so.
             return;
         }
--- a/wisteriaford_gateway/src/orders.rs
+++ b/wisteriaford_gateway/src/orders.rs
@@ -82,7 +82,9 @@
 
 fn address_of(gateway: &Gateway, endpoint: &EndpointId) -> Option<SocketAddr> {
     let view = gateway.view.load();
-    view.endpoints.get(endpoint).map(|endpoint| endpoint.address)
+    view.endpoints
+        .get(endpoint)
+        .map(|endpoint| endpoint.address)
 }
 
 async fn inspect(gateway: &Gateway, endpoint: &EndpointId) -> Option<EngineReport> {
--- a/wisteriaford_gateway/src/outbox.rs
+++ b/wisteriaford_gateway/src/outbox.rs
@@ -13,6 +13,7 @@
 use wisteriaford_core::gateway::schedule::Finished;
 use wisteriaford_core::id::JobId;
 
+use crate::border::Log;
 use crate::border::LogError;
 use crate::border::Topic;
 use crate::state::Gateway;
@@ -77,7 +78,10 @@
 async fn flush(gateway: &Gateway) {
     let taken = std::mem::take(&mut *lock(&gateway.outbox.pending));
     let notes = std::mem::take(&mut *lock(&gateway.outbox.notes));
-    let (now, later) = split(unlisted(gateway, taken), gateway.log.bounds().max_append_bytes / 2);
+    let (now, later) = split(
+        unlisted(gateway, taken),
+        gateway.log.bounds().max_append_bytes / 2,
+    );
     lock(&gateway.outbox.pending).extend(later);
     let mut records = encode(gateway, &now);
     let results = now.len();
@@ -97,7 +101,11 @@
 async fn put_back(gateway: &Gateway, results: Vec<Finished>, error: &LogError) {
     log::warn!(error:% = error, results = results.len(); "results not appended, trying again");
     gateway.metrics.log_failures.add(1, &[]);
-    let wait = if error.may_have_effect() { SETTLE } else { BACKOFF };
+    let wait = if error.may_have_effect() {
+        SETTLE
+    } else {
+        BACKOFF
+    };
     tokio::time::sleep(wait).await;
     let results = unlisted(gateway, results);
     lock(&gateway.outbox.pending).extend(results);
--- /dev/null
+++ b/wisteriaford_gateway/src/peers.rs
@@ -0,0 +1,171 @@
+//! The other instances: where they take relayed calls, and the server for theirs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use prost::Message;
+use tokio::net::TcpListener;
+use wisteriaford_core::gateway::record::KeyedValue;
+use wisteriaford_core::id::Offset;
+use wisteriaford_core::time::Timestamp;
+use wisteriaford_proto::relay::Peer;
+
+use crate::border::Log;
+use crate::border::LogRecord;
+use crate::border::Topic;
+use crate::clock;
+use crate::follow::Follower;
+use crate::refusal::Answer;
+use crate::refusal::status_only;
+use crate::refusal::whole;
+use crate::relay::PeerTable;
+use crate::relay::RELAY_PATH;
+use crate::relay_message;
+use crate::server;
+use crate::state::Gateway;
+
+/// Longest wait of a read for other instances; they seldom come and go.
+const INSTANCES_WAIT: Duration = Duration::from_secs(10);
+/// Wait before the own address is published again after a failure.
+const PUBLISH_BACKOFF: Duration = Duration::from_millis(700);
+/// Bytes of a relayed call beside the records of one append.
+const CALL_OVERHEAD_BYTES: usize = 64 * 1024;
+
+/// Follows the addresses of the other instances.
+pub(crate) struct PeerFollower {
+    pub(crate) gateway: Arc<Gateway>,
+}
+
+impl Follower for PeerFollower {
+    fn topic(&self) -> Topic {
+        Topic::Instances
+    }
+
+    fn wait(&self) -> Duration {
+        INSTANCES_WAIT
+    }
+
+    fn snapshot(&mut self, records: Vec<LogRecord>, _end: Offset) {
+        self.gateway.log.set_peers(PeerTable::new());
+        for record in records {
+            self.record(record);
+        }
+    }
+
+    fn record(&mut self, record: LogRecord) {
+        let log = &self.gateway.log;
+        if record.key == self.gateway.settings.load().host {
+            return;
+        }
+        let mut peers = (*log.peers()).clone();
+        match record.value.as_deref().map(decode) {
+            None => {
+                peers.shift_remove(&record.key);
+            }
+            Some(Ok(address)) => {
+                peers.insert(record.key, address);
+            }
+            Some(Err(cause)) => {
+                self.gateway.metrics.skipped_records.add(1, &[]);
+                log::warn!(
+                    topic:% = Topic::Instances, key:% = record.key, offset = record.offset.0,
+                    error = cause;
+                    "record skipped"
+                );
+                return;
+            }
+        }
+        log::debug!(peers = peers.len(); "peers changed");
+        log.set_peers(peers);
+    }
+
+    fn caught_up(&mut self, _end: Offset, as_of: Timestamp) {
+        self.gateway.freshness(Topic::Instances).advance(as_of);
+    }
+}
+
+fn decode(value: &[u8]) -> Result<SocketAddr, String> {
+    let peer = Peer::decode(value).map_err(|error| error.to_string())?;
+    peer.address.parse().map_err(|_| peer.address)
+}
+
+/// Publishes where this instance takes relayed calls.
+pub(crate) async fn publish(gateway: Arc<Gateway>) {
+    let record = {
+        let settings = gateway.settings.load();
+        let Some(address) = settings.peer_address else {
+            return;
+        };
+        let peer = Peer {
+            instance: String::from(&settings.instance),
+            address: address.to_string(),
+        };
+        KeyedValue {
+            key: settings.host.clone(),
+            value: Some(peer.encode_to_vec()),
+        }
+    };
+    while let Err(error) = gateway
+        .log
+        .append(Topic::Instances, vec![record.clone()], None)
+        .await
+    {
+        log::debug!(error:% = error; "own address not published yet");
+        tokio::time::sleep(PUBLISH_BACKOFF).await;
+    }
+}
+
+/// Serves relayed calls until the process ends.
+pub(crate) async fn serve(gateway: Arc<Gateway>, address: SocketAddr) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(address:% = address, error:% = error; "relayed calls are not served");
+            return;
+        }
+    };
+    server::serve_plain(listener, move |request| {
+        let gateway = Arc::clone(&gateway);
+        async move { answer(&gateway, request).await }
+    })
+    .await;
+}
+
+async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Answer {
+    if request.uri().path() != RELAY_PATH {
+        return status_only(StatusCode::NOT_FOUND);
+    }
+    let max_bytes = gateway.log.bounds().max_append_bytes + CALL_OVERHEAD_BYTES;
+    let body = Limited::new(request.into_body(), max_bytes).collect().await;
+    let body = match body {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::warn!(error:% = error; "relayed call not read");
+            return status_only(StatusCode::BAD_REQUEST);
+        }
+    };
+    let (topic, call) = match relay_message::decode_call(&body) {
+        Ok(decoded) => decoded,
+        Err(error) => {
+            log::warn!(error:% = error; "relayed call refused");
+            return status_only(StatusCode::BAD_REQUEST);
+        }
+    };
+    let started = clock::now();
+    let result = gateway.log.call_for_peer(topic, call).await;
+    gateway.metrics.relayed_calls.add(1, &[]);
+    if let Err(error) = &result {
+        log::debug!(
+            topic:% = topic, error:% = error, took_ms = clock::now().since(started).as_millis();
+            "relayed call failed"
+        );
+    }
+    Response::new(whole(relay_message::encode_answer(&result)))
+}
--- /dev/null
+++ b/wisteriaford_gateway/src/relay.rs
@@ -0,0 +1,311 @@
+//! The log by way of other instances, while this one can't reach it.
+//!
+//! The log may be cut off from some instances, or turn them away, while it serves the others. A
+//! call that fails directly, without an effect, is then made by a peer. Peers never pass a call on
+//! further, and one that can't reach the log itself says so at once, so an outage of the log isn't
+//! multiplied.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use indexmap::IndexMap;
+use wisteriaford_core::gateway::record::KeyedValue;
+use wisteriaford_core::id::Offset;
+use wisteriaford_core::time::Timestamp;
+
+use crate::border::EndpointRequest;
+use crate::border::Log;
+use crate::border::LogBounds;
+use crate::border::LogError;
+use crate::border::LogPage;
+use crate::border::NewestPage;
+use crate::border::Topic;
+use crate::client::CallError;
+use crate::client::Client;
+use crate::clock;
+use crate::relay_message;
+use crate::relay_message::LogAnswer;
+use crate::relay_message::LogCall;
+
+/// Path that peers send calls to.
+pub(crate) const RELAY_PATH: &str = "/log";
+/// Peers that one call is sent to before it fails.
+const MAX_PEERS: usize = 3;
+/// Longest wait for a peer's answer beyond the wait of the call itself.
+///
+/// The peer's own call may take most of it.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Time between two looks at whether the log can be reached directly again.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without an answer of the log or any peer after which this instance counts as cut off.
+const ISOLATION: Duration = Duration::from_millis(1_500);
+
+/// Addresses of the other instances.
+pub(crate) type PeerTable = IndexMap<CompactString, SocketAddr>;
+
+/// Log that is called directly, or by way of peers while that fails.
+pub(crate) struct RelayedLog {
+    direct: Arc<dyn Log>,
+    client: Client,
+    peers: ArcSwap<PeerTable>,
+    /// When a direct call first failed; zero while they succeed.
+    failing_since_us: AtomicU64,
+    /// When the log or a peer last answered.
+    answered_us: AtomicU64,
+    next_peer: AtomicUsize,
+}
+
+impl RelayedLog {
+    pub(crate) fn new(direct: Arc<dyn Log>, client: Client) -> Self {
+        Self {
+            direct,
+            client,
+            peers: ArcSwap::default(),
+            failing_since_us: AtomicU64::new(0),
+            answered_us: AtomicU64::new(0),
+            next_peer: AtomicUsize::new(0),
+        }
+    }
+
+    /// Replaces the addresses of the other instances.
+    pub(crate) fn set_peers(&self, peers: PeerTable) {
+        self.peers.store(Arc::new(peers));
+    }
+
+    /// Returns the addresses of the other instances.
+    pub(crate) fn peers(&self) -> Arc<PeerTable> {
+        self.peers.load_full()
+    }
+
+    /// Returns whether neither the log nor any peer answers, though peers are known.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let failing = Timestamp(self.failing_since_us.load(Ordering::Acquire));
+        if failing == Timestamp(0) || self.peers.load().is_empty() {
+            return false;
+        }
+        let answered = Timestamp(self.answered_us.load(Ordering::Acquire));
+        clock::now().since(answered.max(failing)) > ISOLATION
+    }
+
+    /// Makes a call for a peer, directly or not at all.
+    pub(crate) async fn call_for_peer(
+        &self,
+        topic: Topic,
+        call: LogCall,
+    ) -> Result<LogAnswer, LogError> {
+        if self.is_failing() {
+            return Err(LogError::Unreachable {
+                cause: "the peer can't reach the log either".into(),
+            });
+        }
+        self.call_directly(topic, call).await
+    }
+
+    /// Looks whether the log can be reached directly again, until the process ends.
+    pub(crate) async fn probe(&self) {
+        loop {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            if self.is_failing() {
+                // Its outcome is noted by the call itself.
+                drop(self.call_directly(Topic::Duty, LogCall::Newest(None)).await);
+            }
+        }
+    }
+
+    fn is_failing(&self) -> bool {
+        self.failing_since_us.load(Ordering::Acquire) != 0
+    }
+
+    async fn call(&self, topic: Topic, call: LogCall) -> Result<LogAnswer, LogError> {
+        let mut failure = None;
+        if !self.is_failing() {
+            match self.call_directly(topic, call.clone()).await {
+                Err(error) if is_outage(&error) => {
+                    let is_append = matches!(call, LogCall::Append(..));
+                    if is_append && error.may_have_effect() {
+                        return Err(error);
+                    }
+                    failure = Some(error);
+                }
+                settled => return settled,
+            }
+        }
+        match self.call_by_peers(topic, &call).await {
+            Some(settled) => settled,
+            None => match failure {
+                Some(error) => Err(error),
+                None => self.call_directly(topic, call).await,
+            },
+        }
+    }
+
+    async fn call_directly(&self, topic: Topic, call: LogCall) -> Result<LogAnswer, LogError> {
+        let log = &self.direct;
+        let answer = match call {
+            LogCall::Append(records, at) => log
+                .append(topic, records, at)
+                .await
+                .map(LogAnswer::Appended),
+            LogCall::Read(from, wait) => log.read(topic, from, wait).await.map(LogAnswer::Page),
+            LogCall::Newest(after) => log.newest(topic, after).await.map(LogAnswer::Newest),
+        };
+        match &answer {
+            Err(error) if is_outage(error) => self.note_failure(error),
+            _ => self.note_answer(),
+        }
+        answer
+    }
+
+    fn note_failure(&self, error: &LogError) {
+        let now = clock::now().0.max(1);
+        let noted =
+            self.failing_since_us
+                .compare_exchange(0, now, Ordering::AcqRel, Ordering::Acquire);
+        if noted.is_ok() {
+            let peers = self.peers.load().len();
+            log::warn!(error:% = error, peers = peers; "log out of reach, calling it by peers");
+        }
+    }
+
+    fn note_answer(&self) {
+        self.answered_us.store(clock::now().0, Ordering::Release);
+        let since = self.failing_since_us.swap(0, Ordering::AcqRel);
+        if since != 0 {
+            let outage = clock::now().since(Timestamp(since));
+            log::info!(outage_ms = outage.as_millis(); "log within reach again");
+        }
+    }
+
+    /// Has peers make a call; returns `None` if none of them can, and it had no effect.
+    async fn call_by_peers(
+        &self,
+        topic: Topic,
+        call: &LogCall,
+    ) -> Option<Result<LogAnswer, LogError>> {
+        let peers = self.peers.load_full();
+        let first = self.next_peer.load(Ordering::Relaxed);
+        let message = Bytes::from(relay_message::encode_call(topic, call));
+        for attempt in 0..peers.len().min(MAX_PEERS) {
+            let index = (first + attempt) % peers.len();
+            let (name, address) = peers.get_index(index)?;
+            let answer = self.call_peer(name, *address, call, message.clone()).await;
+            match answer {
+                Ok(Err(error)) if is_outage(&error) && !error.may_have_effect() => {}
+                Ok(settled) => return Some(settled),
+                Err(error @ CallError::Unreachable { .. }) => {
+                    log::debug!(peer:% = name, error:% = error; "peer can't be reached");
+                }
+                Err(error) if matches!(call, LogCall::Append(..)) => {
+                    let cause = compact_str::format_compact!("{error}");
+                    return Some(Err(LogError::AnswerLost { cause }));
+                }
+                Err(error) => log::debug!(peer:% = name, error:% = error; "peer did not answer"),
+            }
+            // The next call begins with another peer.
+            self.next_peer.fetch_add(1, Ordering::Relaxed);
+        }
+        None
+    }
+
+    async fn call_peer(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        call: &LogCall,
+        message: Bytes,
+    ) -> Result<Result<LogAnswer, LogError>, CallError> {
+        let wait = match call {
+            LogCall::Read(_, wait) => *wait,
+            LogCall::Append(..) | LogCall::Newest(_) => Duration::ZERO,
+        };
+        let request = EndpointRequest {
+            method: Method::POST,
+            path: RELAY_PATH.into(),
+            headers: HeaderMap::new(),
+            body: message,
+        };
+        let timeout = wait + PEER_TIMEOUT;
+        let answer = self.client.call(name, address, request, timeout).await?;
+        self.answered_us.store(clock::now().0, Ordering::Release);
+        if answer.status != StatusCode::OK {
+            return Err(CallError::lost(answer.status));
+        }
+        relay_message::decode_answer(call, &answer.body).map_err(CallError::lost)
+    }
+}
+
+/// Returns whether an error means that the log can't be used from here.
+fn is_outage(error: &LogError) -> bool {
+    !matches!(
+        error,
+        LogError::Truncated { .. } | LogError::Conflict { .. }
+    )
+}
+
+fn unexpected() -> LogError {
+    LogError::Damaged {
+        cause: "the answer belongs to another kind of call".into(),
+    }
+}
+
+impl Log for RelayedLog {
+    fn append(
+        &self,
+        topic: Topic,
+        records: Vec<KeyedValue>,
+        at: Option<Offset>,
+    ) -> BoxFuture<'_, Result<Offset, LogError>> {
+        async move {
+            match self.call(topic, LogCall::Append(records, at)).await? {
+                LogAnswer::Appended(offset) => Ok(offset),
+                LogAnswer::Page(_) | LogAnswer::Newest(_) => Err(unexpected()),
+            }
+        }
+        .boxed()
+    }
+
+    fn read(
+        &self,
+        topic: Topic,
+        from: Offset,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<LogPage, LogError>> {
+        async move {
+            match self.call(topic, LogCall::Read(from, wait)).await? {
+                LogAnswer::Page(page) => Ok(page),
+                LogAnswer::Appended(_) | LogAnswer::Newest(_) => Err(unexpected()),
+            }
+        }
+        .boxed()
+    }
+
+    fn newest(
+        &self,
+        topic: Topic,
+        after: Option<CompactString>,
+    ) -> BoxFuture<'_, Result<NewestPage, LogError>> {
+        async move {
+            match self.call(topic, LogCall::Newest(after)).await? {
+                LogAnswer::Newest(page) => Ok(page),
+                LogAnswer::Appended(_) | LogAnswer::Page(_) => Err(unexpected()),
+            }
+        }
+        .boxed()
+    }
+
+    fn bounds(&self) -> LogBounds {
+        self.direct.bounds()
+    }
+}
--- /dev/null
+++ b/wisteriaford_gateway/src/relay_message.rs
@@ -0,0 +1,214 @@
+//! Messages of relayed calls, and what they say in the terms of the log.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use prost::DecodeError;
+use prost::Message;
+use wisteriaford_core::gateway::record::KeyedValue;
+use wisteriaford_core::id::Offset;
+use wisteriaford_proto::relay as proto;
+use wisteriaford_proto::relay::answer;
+use wisteriaford_proto::relay::call;
+
+use crate::border::LogError;
+use crate::border::LogPage;
+use crate::border::LogRecord;
+use crate::border::NewestPage;
+use crate::border::Topic;
+
+/// Call of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum LogCall {
+    /// Append of records, if the topic ends at the offset where one is given.
+    Append(Vec<KeyedValue>, Option<Offset>),
+    /// Read from an offset on.
+    Read(Offset, Duration),
+    /// Read of the newest record of each key after one.
+    Newest(Option<CompactString>),
+}
+
+/// Answer of the log.
+#[derive(Clone, Debug)]
+pub(crate) enum LogAnswer {
+    /// Offset of the first record.
+    Appended(Offset),
+    /// Records of a read.
+    Page(LogPage),
+    /// Newest records.
+    Newest(NewestPage),
+}
+
+/// Why a relayed call can't be understood.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub(crate) enum RelayError {
+    /// The bytes are no message.
+    #[display("the message can't be decoded: {_0}")]
+    Undecodable(DecodeError),
+    /// The message lacks its content or names an unknown topic.
+    #[display("the message has no content of a known kind")]
+    Empty,
+}
+
+pub(crate) fn encode_call(topic: Topic, call: &LogCall) -> Vec<u8> {
+    let kind = match call {
+        LogCall::Append(records, at) => call::Kind::Append(proto::Append {
+            records: records.iter().map(sent_record).collect(),
+            at: at.map(|at| at.0),
+        }),
+        LogCall::Read(from, wait) => call::Kind::Read(proto::Read {
+            from: from.0,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        }),
+        LogCall::Newest(after) => call::Kind::Newest(proto::Newest {
+            after: after.as_ref().map(ToString::to_string),
+        }),
+    };
+    let message = proto::Call {
+        topic: encode_topic(topic).into(),
+        kind: Some(kind),
+    };
+    message.encode_to_vec()
+}
+
+pub(crate) fn decode_call(bytes: &[u8]) -> Result<(Topic, LogCall), RelayError> {
+    let message = proto::Call::decode(bytes)?;
+    let topic = decode_topic(message.topic()).ok_or(RelayError::Empty)?;
+    let call = match message.kind.ok_or(RelayError::Empty)? {
+        call::Kind::Append(append) => {
+            let records = append.records.into_iter().map(|record| KeyedValue {
+                key: record.key.into(),
+                value: record.value,
+            });
+            LogCall::Append(records.collect(), append.at.map(Offset))
+        }
+        call::Kind::Read(read) => {
+            LogCall::Read(Offset(read.from), Duration::from_millis(read.wait_ms))
+        }
+        call::Kind::Newest(newest) => LogCall::Newest(newest.after.map(CompactString::from)),
+    };
+    Ok((topic, call))
+}
+
+pub(crate) fn encode_answer(answer: &Result<LogAnswer, LogError>) -> Vec<u8> {
+    let kind = match answer {
+        Ok(LogAnswer::Appended(offset)) => {
+            answer::Kind::Appended(proto::Appended { offset: offset.0 })
+        }
+        Ok(LogAnswer::Page(page)) => answer::Kind::Page(proto::Page {
+            records: page.records.iter().map(read_record).collect(),
+            end: page.end.0,
+            more_after: None,
+        }),
+        Ok(LogAnswer::Newest(page)) => answer::Kind::Page(proto::Page {
+            records: page.records.iter().map(read_record).collect(),
+            end: page.end.0,
+            more_after: page.more_after.as_ref().map(ToString::to_string),
+        }),
+        Err(error) => answer::Kind::Failure(failure(error)),
+    };
+    proto::Answer { kind: Some(kind) }.encode_to_vec()
+}
+
+/// Decodes the answer to a call; a failure of the log is an answer too.
+pub(crate) fn decode_answer(
+    call: &LogCall,
+    bytes: &[u8],
+) -> Result<Result<LogAnswer, LogError>, RelayError> {
+    let message = proto::Answer::decode(bytes)?;
+    Ok(match message.kind.ok_or(RelayError::Empty)? {
+        answer::Kind::Appended(appended) => Ok(LogAnswer::Appended(Offset(appended.offset))),
+        answer::Kind::Page(page) => {
+            let records: Vec<LogRecord> = page.records.into_iter().map(log_record).collect();
+            let end = Offset(page.end);
+            Ok(match call {
+                LogCall::Newest(_) => LogAnswer::Newest(NewestPage {
+                    records,
+                    more_after: page.more_after.map(CompactString::from),
+                    end,
+                }),
+                LogCall::Read(..) | LogCall::Append(..) => {
+                    LogAnswer::Page(LogPage { records, end })
+                }
+            })
+        }
+        answer::Kind::Failure(failure) => Err(log_error(failure)),
+    })
+}
+
+fn failure(error: &LogError) -> proto::Failure {
+    let mut failure = proto::Failure {
+        may_have_effect: error.may_have_effect(),
+        cause: error.to_string(),
+        ..proto::Failure::default()
+    };
+    match error {
+        LogError::Truncated { first } => failure.truncated_before = Some(first.0),
+        LogError::Conflict { end } => failure.conflict_end = Some(end.0),
+        _ => {}
+    }
+    failure
+}
+
+fn log_error(failure: proto::Failure) -> LogError {
+    if let Some(first) = failure.truncated_before {
+        return LogError::Truncated {
+            first: Offset(first),
+        };
+    }
+    if let Some(end) = failure.conflict_end {
+        return LogError::Conflict { end: Offset(end) };
+    }
+    let cause = CompactString::from(failure.cause);
+    if failure.may_have_effect {
+        LogError::AnswerLost { cause }
+    } else {
+        LogError::Unreachable { cause }
+    }
+}
+
+fn sent_record(record: &KeyedValue) -> proto::Record {
+    proto::Record {
+        key: record.key.to_string(),
+        value: record.value.clone(),
+        offset: 0,
+    }
+}
+
+fn read_record(record: &LogRecord) -> proto::Record {
+    proto::Record {
+        key: record.key.to_string(),
+        value: record.value.as_ref().map(|value| value.to_vec()),
+        offset: record.offset.0,
+    }
+}
+
+fn log_record(record: proto::Record) -> LogRecord {
+    LogRecord {
+        offset: Offset(record.offset),
+        key: record.key.into(),
+        value: record.value.map(Bytes::from),
+    }
+}
+
+fn encode_topic(topic: Topic) -> proto::Topic {
+    match topic {
+        Topic::Publications => proto::Topic::Publications,
+        Topic::Endpoints => proto::Topic::Endpoints,
+        Topic::Jobs => proto::Topic::Jobs,
+        Topic::Duty => proto::Topic::Duty,
+        Topic::Instances => proto::Topic::Instances,
+    }
+}
+
+fn decode_topic(topic: proto::Topic) -> Option<Topic> {
+    Some(match topic {
+        proto::Topic::Unspecified => return None,
+        proto::Topic::Publications => Topic::Publications,
+        proto::Topic::Endpoints => Topic::Endpoints,
+        proto::Topic::Jobs => Topic::Jobs,
+        proto::Topic::Duty => Topic::Duty,
+        proto::Topic::Instances => Topic::Instances,
+    })
+}
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -45,7 +45,11 @@
     let mut stop = gateway.stop.clone();
     let mut runs = Runs::new();
     loop {
-        let tick = if step(&gateway, &mut runs) { TICK } else { IDLE_TICK };
+        let tick = if step(&gateway, &mut runs) {
+            TICK
+        } else {
+            IDLE_TICK
+        };
         tokio::select! {
             () = gateway.runner_wake.notified() => {}
             () = tokio::time::sleep(tick) => {}
@@ -57,7 +61,9 @@
 /// Opens, closes and starts what is due; returns whether anything runs or waits.
 fn step(gateway: &Arc<Gateway>, runs: &mut Runs) -> bool {
     runs.retain(|_, run| !run.is_finished());
-    let is_holder = gateway.duty().held().is_some();
+    let is_holder = gateway
+        .duty()
+        .may_run(clock::now(), gateway.log.is_isolated());
     if !is_holder {
         let stopped = gateway.schedule().close_all();
         stop_runs(runs, &stopped);
@@ -102,7 +108,10 @@
     let mut schedule = gateway.schedule();
     let closed: Vec<JobId> = schedule
         .open_jobs()
-        .filter(|id| jobs.get(id).is_none_or(|job| job.ended || job.is_complete()))
+        .filter(|id| {
+            jobs.get(id)
+                .is_none_or(|job| job.ended || job.is_complete())
+        })
         .cloned()
         .collect();
     for id in closed {
@@ -260,7 +269,9 @@
         return Ok(());
     };
     if let Some(model) = &start.job.model {
-        gateway.plan().note_version(&start.endpoint.id, model, version);
+        gateway
+            .plan()
+            .note_version(&start.endpoint.id, model, version);
     }
     let wrong = version < start.min_version || start.exact_version.is_some_and(|v| v != version);
     if wrong {
--- a/wisteriaford_gateway/src/server.rs
+++ b/wisteriaford_gateway/src/server.rs
@@ -245,8 +245,11 @@
     .await;
 }
 
-async fn serve_plain<F>(listener: TcpListener, answer: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static)
-where
+/// Serves requests that are answered without a route until the process ends.
+pub(crate) async fn serve_plain<F>(
+    listener: TcpListener,
+    answer: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+) where
     F: Future<Output = Answer> + Send + 'static,
 {
     let (_keep, never) = tokio::sync::watch::channel(false);
--- a/wisteriaford_gateway/src/settings.rs
+++ b/wisteriaford_gateway/src/settings.rs
@@ -20,6 +20,8 @@
     pub caller_address: SocketAddr,
     /// Address that is asked for readiness.
     pub readiness_address: SocketAddr,
+    /// Address that other instances send relayed calls to.
+    pub peer_address: Option<SocketAddr>,
     /// Address that metrics are served at.
     pub metrics_address: Option<SocketAddr>,
     /// Time between the signal to stop and the end of the process.
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -36,6 +36,7 @@
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
+use crate::relay::RelayedLog;
 use crate::settings::GatewaySettings;
 
 /// Time without an answer of the log after which this instance asks for no new callers.
@@ -92,7 +93,7 @@
 /// Everything that the tasks share.
 pub(crate) struct Gateway {
     pub(crate) settings: ArcSwap<GatewaySettings>,
-    pub(crate) log: Arc<dyn Log>,
+    pub(crate) log: Arc<RelayedLog>,
     pub(crate) facts: Arc<dyn FactDecoder>,
     pub(crate) callers: Arc<dyn CallerProtocol>,
     pub(crate) endpoints: Arc<dyn EndpointProtocol>,
@@ -110,7 +111,7 @@
     duty: Mutex<Duty>,
     schedule: Mutex<Schedule>,
     plan: Mutex<WeightPlan>,
-    freshness: [Freshness; 4],
+    freshness: [Freshness; 5],
     counter: AtomicU64,
 }
 
@@ -129,7 +130,7 @@
         let availability_zone = settings.availability_zone.clone();
         Self {
             settings: ArcSwap::from_pointee(settings),
-            log: borders.log,
+            log: Arc::new(RelayedLog::new(borders.log, borders.client.clone())),
             facts: borders.facts,
             callers: borders.callers,
             endpoints: borders.endpoints,
@@ -191,7 +192,9 @@
     /// Counts an answer of the log; a lost log is back.
     pub(crate) fn note_log_answer(&self, topic: Topic) {
         let freshness = self.freshness(topic);
-        freshness.answered_us.store(clock::now().0, Ordering::Release);
+        freshness
+            .answered_us
+            .store(clock::now().0, Ordering::Release);
         if freshness.failing.swap(false, Ordering::AcqRel) {
             log::info!(topic:% = topic; "the log answers again");
         }
@@ -219,7 +222,10 @@
             return Err(NotReady::NoRoutes);
         }
         let topics = [Topic::Publications, Topic::Endpoints, Topic::Jobs];
-        if topics.iter().any(|t| self.freshness(*t).as_of() == Timestamp(0)) {
+        if topics
+            .iter()
+            .any(|t| self.freshness(*t).as_of() == Timestamp(0))
+        {
             return Err(NotReady::Reading);
         }
         let answered = topics.iter().map(|t| self.freshness(*t).answered()).max();
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -129,7 +129,9 @@
             last_event = call.last_event;
             "stream broke"
         );
-        call.gateway.fleet().note_failure(clock::now(), &endpoint.id);
+        call.gateway
+            .fleet()
+            .note_failure(clock::now(), &endpoint.id);
         match resume(&mut call).await {
             Some((next, answer)) => (endpoint, open) = (next, answer),
             None => {
@@ -145,7 +147,11 @@
     let mut reader = EventReader::default();
     loop {
         let left = call.deadline.since(clock::now());
-        let silence = if call.route.resumable { SILENCE.min(left) } else { left };
+        let silence = if call.route.resumable {
+            SILENCE.min(left)
+        } else {
+            left
+        };
         let frame = tokio::select! {
             frame = tokio::time::timeout(silence, open.response.body_mut().frame()) => frame,
             () = sender.closed() => return PartEnd::CallerLeft,
@@ -203,7 +209,9 @@
         let opened = client.open(endpoint.id.as_str(), endpoint.address, request, true);
         let left = call.deadline.since(clock::now()).min(SILENCE);
         let Ok(Ok(answer)) = tokio::time::timeout(left, opened).await else {
-            call.gateway.fleet().note_unreachable(clock::now(), &endpoint.id);
+            call.gateway
+                .fleet()
+                .note_unreachable(clock::now(), &endpoint.id);
             continue;
         };
         let response = &answer.response;
--- a/wisteriaford_proto/src/lib.rs
+++ b/wisteriaford_proto/src/lib.rs
@@ -50,3 +50,9 @@
 pub mod job {
     include!("generated/wisteriaford.job.rs");
 }
+
+/// Calls of the shared log that one instance makes for another.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+pub mod relay {
+    include!("generated/wisteriaford.relay.rs");
+}
--- a/wisteriaford_schema/src/main.rs
+++ b/wisteriaford_schema/src/main.rs
@@ -7,7 +7,7 @@
 
 const SCHEMA_DIR: &str = "wisteriaford_proto/proto";
 const OUTPUT_DIR: &str = "wisteriaford_proto/src/generated";
-const SCHEMAS: [&str; 8] = [
+const SCHEMAS: [&str; 9] = [
     "wisteriaford/settings.proto",
     "wisteriaford/record.proto",
     "wisteriaford/membership.proto",
@@ -16,6 +16,7 @@
     "wisteriaford/fleet.proto",
     "wisteriaford/peer.proto",
     "wisteriaford/job.proto",
+    "wisteriaford/relay.proto",
 ];
 
 fn main() -> Result<(), Box<dyn Error>> {
