Ask peers early when the store is silent, and queue one order ahead

Cause: a load was noticed 0.2 s late, and orders waited for it; a silent store was noticed after 1.5 s, and the duty moved.

--- a/wisteriaford_core/src/gateway/duty.rs
+++ b/wisteriaford_core/src/gateway/duty.rs
@@ -98,6 +98,7 @@
     orders_from: Timestamp,
     renewed: Timestamp,
     pending: Option<Pending>,
+    in_flight: bool,
     next_append: Timestamp,
     stands: bool,
 }
@@ -127,6 +128,7 @@
             orders_from: Timestamp::default(),
             renewed: Timestamp::default(),
             pending: None,
+            in_flight: false,
             next_append: Timestamp::default(),
             stands: true,
         }
@@ -229,7 +231,7 @@
     /// Returns the record that is due, if any; its outcome must be told.
     pub fn due(&mut self, now: Timestamp) -> Option<DutyAppend> {
         let at = self.end?;
-        if self.pending.is_some() || now < self.next_append {
+        if self.in_flight || now < self.next_append {
             return None;
         }
         let fence = match self.held() {
@@ -244,24 +246,16 @@
 
     /// Takes the outcome of the last append.
     pub fn settled(&mut self, now: Timestamp, outcome: DutyOutcome) {
-        let Some(pending) = self.pending else {
-            return;
-        };
+        self.in_flight = false;
         match outcome {
-            DutyOutcome::Appended => {
-                self.next_append = now;
-            }
+            DutyOutcome::Appended => self.next_append = now,
             DutyOutcome::Refused => {
                 self.pending = None;
                 self.next_append = now + APPEND_BACKOFF;
             }
-            DutyOutcome::Unknown => {
-                // If it was added, it is read back; if not, the next one is sent on the same
-                // condition, and only one of them can be added.
-                self.next_append = now + APPEND_BACKOFF;
-                self.pending = None;
-                self.renewed = self.renewed.max(pending.sent - RENEWAL_INTERVAL);
-            }
+            // If it was added, it is read back; if not, the next one is sent on the same
+            // condition, and only one of them can be added.
+            DutyOutcome::Unknown => self.next_append = now + APPEND_BACKOFF,
         }
     }
 
@@ -272,9 +266,12 @@
         fence: Option<Fence>,
         released: bool,
     ) -> DutyAppend {
+        // Of two appends on the same condition, the first one may be the one that is added.
+        let before = self.pending.filter(|pending| pending.at == at);
+        self.in_flight = true;
         self.pending = Some(Pending {
             at,
-            sent: now,
+            sent: before.map_or(now, |pending| pending.sent),
             releases: released,
         });
         let record = DutyRecord {
--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -18,14 +18,14 @@
 use crate::id::Version;
 use crate::time::Timestamp;
 
-/// One engine in so many may load at a time; more make each load longer.
+/// One engine in so many loads at a time; further ones wait for those.
 const ENGINES_PER_LOAD: usize = 5;
-/// Fewest engines that may load at a time.
-const MIN_LOADS_AT_ONCE: usize = 2;
+/// Engines that are ordered beyond those, so that the next load begins when one ends.
+const QUEUED_LOADS: usize = 1;
 /// Time after an order before the engine is first asked how far it is.
 const FIRST_CHECK: Duration = Duration::from_millis(900);
 /// Time between two questions to an engine that loads.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Time after which an order counts as failed.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
 /// Wait after an order or question that failed.
@@ -201,7 +201,7 @@
         for view in views {
             actions.extend(self.inspection(now, view));
         }
-        let at_once = (views.len() / ENGINES_PER_LOAD).max(MIN_LOADS_AT_ONCE);
+        let at_once = views.len() / ENGINES_PER_LOAD + QUEUED_LOADS;
         let loading = self
             .engines
             .values()
@@ -313,7 +313,7 @@
         demand: &IndexMap<ModelId, ModelDemand>,
     ) -> Option<(EndpointId, ModelId)> {
         let nothing = ModelDemand::default();
-        let mut best: Option<(u64, Version, u32, &EndpointId, &ModelId)> = None;
+        let mut best: Option<(u64, u32, Version, &EndpointId, &ModelId)> = None;
         for (model, target) in &self.targets {
             let demand = demand.get(model).unwrap_or(&nothing);
             let hosts = || views.iter().filter(|view| view.models.contains(model));
@@ -345,7 +345,7 @@
                     continue;
                 }
                 let version = engine.report.as_ref().map(|r| r.version(model));
-                let rank = (covered, version.unwrap_or_default(), running);
+                let rank = (covered, running, version.unwrap_or_default());
                 if best.is_none_or(|best| rank < (best.0, best.1, best.2)) {
                     best = Some((rank.0, rank.1, rank.2, &view.endpoint, model));
                 }
--- a/wisteriaford_gateway/src/relay.rs
+++ b/wisteriaford_gateway/src/relay.rs
@@ -47,6 +47,10 @@
 ///
 /// The peer's own call may take most of it.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Time beyond the wait of a call after which a peer is asked to make it too.
+///
+/// A healthy log answers in a few milliseconds. Making a call twice does no harm.
+const HEDGE_AFTER: Duration = Duration::from_millis(300);
 /// Time between two looks at whether the log can be reached directly again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without an answer of the log or any peer after which this instance counts as cut off.
@@ -129,24 +133,38 @@
     }
 
     async fn call(&self, topic: Topic, call: LogCall) -> Result<LogAnswer, LogError> {
-        let mut failure = None;
-        if !self.is_failing() {
-            match self.call_directly(topic, call.clone()).await {
-                Err(error) if is_outage(&error) => {
-                    let is_append = matches!(call, LogCall::Append(..));
-                    if is_append && error.may_have_effect() {
-                        return Err(error);
-                    }
-                    failure = Some(error);
-                }
-                settled => return settled,
-            }
-        }
-        match self.call_by_peers(topic, &call).await {
-            Some(settled) => settled,
-            None => match failure {
-                Some(error) => Err(error),
+        if self.is_failing() {
+            return match self.call_by_peers(topic, &call).await {
+                Some(settled) => settled,
                 None => self.call_directly(topic, call).await,
+            };
+        }
+        let direct = self.call_directly(topic, call.clone());
+        tokio::pin!(direct);
+        let in_time = tokio::time::timeout(call.wait() + HEDGE_AFTER, direct.as_mut()).await;
+        let failure = match in_time {
+            Ok(Err(error)) if is_outage(&error) => Some(error),
+            Ok(settled) => return settled,
+            Err(_) => None,
+        };
+        let by_peers = self.call_by_peers(topic, &call);
+        if let Some(error) = failure {
+            return by_peers.await.unwrap_or(Err(error));
+        }
+        tokio::pin!(by_peers);
+        tokio::select! {
+            settled = direct.as_mut() => match settled {
+                Err(error) if is_outage(&error) => by_peers.await.unwrap_or(Err(error)),
+                settled => settled,
+            },
+            settled = by_peers.as_mut() => match settled {
+                Some(settled) if !settled.as_ref().is_err_and(is_outage) => {
+                    self.note_failure(&LogError::AnswerLost {
+                        cause: "a peer had its answer first".into(),
+                    });
+                    settled
+                }
+                _ => direct.await,
             },
         }
     }
@@ -226,17 +244,13 @@
         call: &LogCall,
         message: Bytes,
     ) -> Result<Result<LogAnswer, LogError>, CallError> {
-        let wait = match call {
-            LogCall::Read(_, wait) => *wait,
-            LogCall::Append(..) | LogCall::Newest(_) => Duration::ZERO,
-        };
         let request = EndpointRequest {
             method: Method::POST,
             path: RELAY_PATH.into(),
             headers: HeaderMap::new(),
             body: message,
         };
-        let timeout = wait + PEER_TIMEOUT;
+        let timeout = call.wait() + PEER_TIMEOUT;
         let answer = self.client.call(name, address, request, timeout).await?;
         self.answered_us.store(clock::now().0, Ordering::Release);
         if answer.status != StatusCode::OK {
--- a/wisteriaford_gateway/src/relay_message.rs
+++ b/wisteriaford_gateway/src/relay_message.rs
@@ -29,6 +29,16 @@
     Newest(Option<CompactString>),
 }
 
+impl LogCall {
+    /// Returns how long the log may keep the call waiting.
+    pub(crate) fn wait(&self) -> Duration {
+        match self {
+            Self::Read(_, wait) => *wait,
+            Self::Append(..) | Self::Newest(_) => Duration::ZERO,
+        }
+    }
+}
+
 /// Answer of the log.
 #[derive(Clone, Debug)]
 pub(crate) enum LogAnswer {
