--- a/wisteriaford_core/src/gateway/fleet.rs
+++ b/wisteriaford_core/src/gateway/fleet.rs
@@ -22,10 +22,16 @@
 const FAILURES_TO_EJECT: u32 = 2;
 /// Time that an endpoint which refused as full is left out.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
-/// Weight of a new observation in the moving average of an endpoint's pace.
-const PACE_WEIGHT: f64 = 0.1;
+/// Time over which the moving average of an endpoint's pace reaches.
+const PACE_SPAN: Duration = Duration::from_millis(400);
+/// Least and greatest weight of a new observation in that average.
+const PACE_WEIGHTS: (f64, f64) = (0.02, 0.4);
 /// Longest unit of work that counts, as a multiple of the usual one; a pause isn't a pace.
 const MAX_RELATIVE_PACE: f64 = 6.0;
+/// Time between two looks at the usual pace of a pool.
+const USUAL_INTERVAL: Duration = Duration::from_millis(50);
+/// Age of an observation up to which it counts for the usual pace.
+const USUAL_MAX_AGE: Duration = Duration::from_secs(3);
 /// Time after which half of an endpoint's deviation from the usual pace is forgotten.
 const PACE_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Cost of a request between availability zones, as a part of the usual pace.
@@ -42,8 +48,9 @@
     failures: u32,
     ejected_until: Timestamp,
     full_until: Timestamp,
-    /// Pace relative to the usual one; 1 is usual, 2 takes twice as long.
-    relative_pace: f64,
+    pool: Option<PoolId>,
+    /// Moving average of the time that a unit of work takes; zero if none was seen.
+    pace_us: f64,
     paced_at: Timestamp,
 }
 
@@ -54,27 +61,27 @@
             failures: 0,
             ejected_until: Timestamp::default(),
             full_until: Timestamp::default(),
-            relative_pace: 1.0,
+            pool: None,
+            pace_us: 0.0,
             paced_at: Timestamp::default(),
         }
     }
 }
 
 impl Observed {
-    fn pace(&self, now: Timestamp) -> f64 {
-        let age = now.since(self.paced_at).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
-        1.0 + (self.relative_pace - 1.0) * 0.5_f64.powf(age)
-    }
-
     fn is_left_out(&self, now: Timestamp) -> bool {
         self.ejected_until > now || self.full_until > now
     }
 }
 
-/// Usual pace of a pool, from all its endpoints.
+/// Usual pace of a pool: the median of its endpoints.
+///
+/// Under load all engines get slower together, so an engine is compared with the others and not
+/// with its own past.
 #[derive(Clone, Copy, Debug)]
 struct UsualPace {
-    micros: f64,
+    pace_us: f64,
+    computed: Timestamp,
 }
 
 /// Why an endpoint was chosen, for the log.
@@ -153,19 +160,36 @@
         endpoint: &EndpointId,
         taken: Duration,
     ) {
-        let micros = taken.as_secs_f64() * 1e6;
-        let usual = self
-            .usual
-            .entry(pool.clone())
-            .or_insert(UsualPace { micros });
-        // Slow endpoints move the usual pace less than fast ones, so it stays that of sound ones.
-        let weight = if micros > usual.micros { 0.01 } else { 0.1 };
-        usual.micros += (micros - usual.micros) * weight;
-        let relative = (micros / usual.micros.max(1.0)).min(MAX_RELATIVE_PACE);
+        let usual_us = self.usual.get(pool).map(|usual| usual.pace_us);
+        let longest_us = usual_us.map_or(f64::MAX, |usual| usual * MAX_RELATIVE_PACE);
+        let taken_us = (taken.as_secs_f64() * 1e6).min(longest_us);
         let seen = self.entry(endpoint);
-        let before = seen.pace(now);
-        seen.relative_pace = before + (relative - before) * PACE_WEIGHT;
+        let gap = now.since(seen.paced_at).as_secs_f64() / PACE_SPAN.as_secs_f64();
+        let weight = gap.clamp(PACE_WEIGHTS.0, PACE_WEIGHTS.1);
+        if seen.pace_us > 0.0 {
+            seen.pace_us += (taken_us - seen.pace_us) * weight;
+        } else {
+            seen.pace_us = taken_us;
+            seen.pool = Some(pool.clone());
+        }
         seen.paced_at = now;
+        let computed = self.usual.get(pool).map(|usual| usual.computed);
+        if computed.is_none_or(|computed| now.since(computed) >= USUAL_INTERVAL) {
+            self.compute_usual(now, pool);
+        }
+    }
+
+    fn compute_usual(&mut self, now: Timestamp, pool: &PoolId) {
+        let fresh = self.observed.values().filter(|seen| {
+            seen.pool.as_ref() == Some(pool) && now.since(seen.paced_at) <= USUAL_MAX_AGE
+        });
+        let mut paces: Vec<f64> = fresh.map(|seen| seen.pace_us).collect();
+        paces.sort_by(f64::total_cmp);
+        if let Some(&pace_us) = paces.get((paces.len().saturating_sub(1)) / 2) {
+            let computed = now;
+            self.usual
+                .insert(pool.clone(), UsualPace { pace_us, computed });
+        }
     }
 
     /// Counts a success, which ends an endpoint's ejection.
@@ -208,16 +232,22 @@
     /// Returns the pace of an endpoint relative to the usual one of its pool.
     #[must_use]
     pub fn relative_pace(&self, now: Timestamp, endpoint: &EndpointId) -> f64 {
-        self.observed
-            .get(endpoint)
-            .map_or(1.0, |seen| seen.pace(now))
+        let Some(seen) = self.observed.get(endpoint) else {
+            return 1.0;
+        };
+        let usual = seen.pool.as_ref().and_then(|pool| self.usual.get(pool));
+        let Some(usual) = usual.filter(|usual| usual.pace_us > 0.0) else {
+            return 1.0;
+        };
+        let age = now.since(seen.paced_at).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
+        1.0 + (seen.pace_us / usual.pace_us - 1.0) * 0.5_f64.powf(age)
     }
 
     /// Returns the usual time that a unit of work takes in a pool.
     #[must_use]
     pub fn usual_pace(&self, pool: &PoolId) -> Option<Duration> {
         let usual = self.usual.get(pool)?;
-        Some(Duration::from_secs_f64(usual.micros / 1e6))
+        Some(Duration::from_secs_f64(usual.pace_us / 1e6))
     }
 
     /// Chooses the endpoint with the least expected wait.
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -38,7 +38,7 @@
 /// Wait before an item is sent again after an engine refused it as full.
 const FULL_BACKOFF: Duration = Duration::from_millis(30);
 /// Pace of an engine, relative to the usual one, beyond which its items may be moved.
-const SLOW_PACE: f64 = 1.6;
+const SLOW_PACE: f64 = 1.8;
 /// Pace, relative to the usual one, that an item may be moved to.
 const SOUND_PACE: f64 = 1.25;
 /// Least time that a move must save; it costs a connection and reading the output again.
