--- a/wisteriaford_gateway/src/relay.rs
+++ b/wisteriaford_gateway/src/relay.rs
@@ -49,7 +49,7 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_800);
 /// Time beyond the wait of a call after which a peer is asked to make it too.
 ///
-/// A healthy log answers in a few milliseconds. Making a call twice does no harm.
+/// A healthy log answers in a few milliseconds.
 const HEDGE_AFTER: Duration = Duration::from_millis(300);
 /// Time between two looks at whether the log can be reached directly again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -140,6 +140,14 @@
             };
         }
         let direct = self.call_directly(topic, call.clone());
+        if !call.is_repeatable() {
+            return match direct.await {
+                Err(error) if is_outage(&error) && !error.may_have_effect() => {
+                    self.call_by_peers(topic, &call).await.unwrap_or(Err(error))
+                }
+                settled => settled,
+            };
+        }
         tokio::pin!(direct);
         let in_time = tokio::time::timeout(call.wait() + HEDGE_AFTER, direct.as_mut()).await;
         let failure = match in_time {
@@ -225,7 +233,7 @@
                 Err(error @ CallError::Unreachable { .. }) => {
                     log::debug!(peer:% = name, error:% = error; "peer can't be reached");
                 }
-                Err(error) if matches!(call, LogCall::Append(..)) => {
+                Err(error) if !call.is_repeatable() => {
                     let cause = compact_str::format_compact!("{error}");
                     return Some(Err(LogError::AnswerLost { cause }));
                 }
--- a/wisteriaford_gateway/src/relay_message.rs
+++ b/wisteriaford_gateway/src/relay_message.rs
@@ -30,6 +30,18 @@
 }
 
 impl LogCall {
+    /// Returns whether the call may be made twice.
+    ///
+    /// Of two appends on the same condition only one can take effect. Without a condition both
+    /// would, and the second would take the first one's place among the newest of its key: records
+    /// would change their order.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        match self {
+            Self::Append(_, at) => at.is_some(),
+            Self::Read(..) | Self::Newest(_) => true,
+        }
+    }
+
     /// Returns how long the log may keep the call waiting.
     pub(crate) fn wait(&self) -> Duration {
         match self {
