Send items to fast engines first

Cause: engines of one pool differ by 1.3 in pace; an item of 186 events takes 9.3 s at a slow one, past its due time, while a full batch costs 7 % only.

--- a/wisteriaford_core/src/gateway/fleet.rs
+++ b/wisteriaford_core/src/gateway/fleet.rs
@@ -34,10 +34,18 @@
 const USUAL_MAX_AGE: Duration = Duration::from_secs(3);
 /// Time after which half of an endpoint's deviation from the usual pace is forgotten.
 const PACE_HALF_LIFE: Duration = Duration::from_secs(4);
-/// Cost of a request between availability zones, as a part of the usual pace.
-const CROSS_ZONE_COST: f64 = 0.25;
-/// Cost of a new connection, as a part of the usual pace.
-const NEW_CONNECTION_COST: f64 = 0.6;
+/// What counts for calls: they are short, so a connection or a queue makes up most of their time.
+pub const CALL_COSTS: Costs = Costs {
+    full: 1.0,
+    cross_zone: 0.25,
+    new_connection: 0.6,
+};
+/// What counts for items: they run for seconds, and a full batch slows each by a few percent only.
+pub const ITEM_COSTS: Costs = Costs {
+    full: 0.12,
+    cross_zone: 0.0,
+    new_connection: 0.02,
+};
 /// Pace, relative to the usual one, beyond which an endpoint loses its affinity.
 const MAX_AFFINITY_PACE: f64 = 2.0;
 
@@ -97,6 +105,17 @@
     pub forced: bool,
 }
 
+/// Costs of an endpoint beside its pace, in multiples of the usual pace.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Costs {
+    /// All its slots are taken.
+    pub full: f64,
+    /// It is in another availability zone.
+    pub cross_zone: f64,
+    /// It has no free connection.
+    pub new_connection: f64,
+}
+
 /// What a choice is made for.
 pub struct Query<'a> {
     /// Pool that serves the request.
@@ -109,6 +128,8 @@
     pub max_in_flight: Option<u32>,
     /// Whether an endpoint that is left out may be taken if there is no other.
     pub may_force: bool,
+    /// What counts beside the pace.
+    pub costs: Costs,
 }
 
 /// Observations of all endpoints.
@@ -270,7 +291,10 @@
             .filter(|endpoint| self.has_room(endpoint, query))
             .collect();
         let is_sound = |endpoint: &&&Endpoint| self.is_sound(now, &endpoint.id);
-        let cost = |endpoint: &Endpoint| self.cost(now, endpoint, idle_connections(&endpoint.id));
+        let cost = |endpoint: &Endpoint| {
+            let idle = idle_connections(&endpoint.id);
+            self.cost(now, endpoint, &query.costs, idle)
+        };
         let by_cost = |a: &&&Endpoint, b: &&&Endpoint| cost(a).total_cmp(&cost(b));
         let mut forced = false;
         let mut chosen = candidates.iter().filter(is_sound).min_by(by_cost);
@@ -301,15 +325,22 @@
         max.is_none_or(|max| self.in_flight(&endpoint.id) < max)
     }
 
-    fn cost(&self, now: Timestamp, endpoint: &Endpoint, idle_connections: usize) -> f64 {
+    fn cost(
+        &self,
+        now: Timestamp,
+        endpoint: &Endpoint,
+        costs: &Costs,
+        idle_connections: usize,
+    ) -> f64 {
         let in_flight = f64::from(self.in_flight(&endpoint.id));
         let slots = f64::from(endpoint.slots.max(1));
-        let mut cost = self.relative_pace(now, &endpoint.id) * (1.0 + in_flight / slots);
+        let mut cost =
+            self.relative_pace(now, &endpoint.id) * (1.0 + costs.full * in_flight / slots);
         if endpoint.availability_zone != self.availability_zone {
-            cost += CROSS_ZONE_COST;
+            cost += costs.cross_zone;
         }
         if idle_connections == 0 {
-            cost += NEW_CONNECTION_COST;
+            cost += costs.new_connection;
         }
         cost
     }
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -15,6 +15,7 @@
 use crate::gateway::endpoint::EndpointTable;
 use crate::gateway::fleet::ChoiceReason;
 use crate::gateway::fleet::Fleet;
+use crate::gateway::fleet::ITEM_COSTS;
 use crate::gateway::fleet::Query;
 use crate::gateway::job::ItemResult;
 use crate::gateway::job::ItemSpec;
@@ -38,11 +39,11 @@
 /// Wait before an item is sent again after an engine refused it as full.
 const FULL_BACKOFF: Duration = Duration::from_millis(30);
 /// Pace of an engine, relative to the usual one, beyond which its items may be moved.
-const SLOW_PACE: f64 = 1.8;
+const SLOW_PACE: f64 = 1.2;
 /// Pace, relative to the usual one, that an item may be moved to.
-const SOUND_PACE: f64 = 1.25;
+const SOUND_PACE: f64 = 1.1;
 /// Least time that a move must save; it costs a connection and reading the output again.
-const MIN_GAIN: Duration = Duration::from_millis(500);
+const MIN_GAIN: Duration = Duration::from_millis(600);
 /// Time that an item stays at an engine before it may be moved.
 const MIN_STAY: Duration = Duration::from_millis(400);
 /// Events that an item is expected to need beyond those that were expected, in percent of them.
@@ -322,6 +323,7 @@
         routes: &RouteTable,
         endpoints: &EndpointTable,
         fleet: &mut Fleet,
+        idle_connections: impl Fn(&EndpointId) -> usize,
         accepts: impl Fn(&Endpoint, &JobSpec, Option<Version>) -> bool,
     ) -> Vec<Start> {
         let mut starts = Vec::new();
@@ -348,7 +350,10 @@
                 let admits = |endpoint: &Endpoint| accepts(endpoint, job, exact);
                 let group = item.spec.group.as_ref();
                 let affinity = group.and_then(|group| active.group_endpoints.get(group));
-                let chosen = choose(now, routes, route, endpoints, fleet, item, affinity, admits);
+                let idle = &idle_connections;
+                let chosen = choose(
+                    now, routes, route, endpoints, fleet, item, affinity, idle, admits,
+                );
                 let Some((endpoint, reason)) = chosen else {
                     continue;
                 };
@@ -615,6 +620,7 @@
     fleet: &Fleet,
     item: &ItemRun,
     affinity: Option<&EndpointId>,
+    idle_connections: impl Fn(&EndpointId) -> usize,
     accepts: impl Fn(&Endpoint) -> bool,
 ) -> Option<(&'a Endpoint, ChoiceReason)> {
     let pool = route.pool_for(item.spec.id.as_str())?;
@@ -625,8 +631,9 @@
         affinity,
         max_in_flight: engine.map(|engine| engine.slots),
         may_force: false,
+        costs: ITEM_COSTS,
     };
-    fleet.choose(now, endpoints, &query, |_| 1, accepts)
+    fleet.choose(now, endpoints, &query, idle_connections, accepts)
 }
 
 /// Orders items by their group's longest expected output; carried groups keep their place in front.
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use http::header;
 use http::request::Parts;
 use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::fleet::CALL_COSTS;
 use wisteriaford_core::gateway::fleet::Query;
 use wisteriaford_core::gateway::route::Route;
 use wisteriaford_core::id::EndpointId;
@@ -277,12 +278,10 @@
         affinity: None,
         max_in_flight: None,
         may_force: true,
+        costs: CALL_COSTS,
     };
     let mut fleet = gateway.fleet();
-    let idle = |id: &EndpointId| {
-        let endpoint = view.endpoints.get(id);
-        endpoint.map_or(0, |e| gateway.client.idle_count(id.as_str(), e.address))
-    };
+    let idle = |id: &EndpointId| gateway.idle_connections(&view, id);
     let (endpoint, reason) = fleet.choose(clock::now(), &view.endpoints, &query, idle, |_| true)?;
     fleet.started(&endpoint.id);
     log::debug!(
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -161,6 +161,7 @@
         &view.routes,
         &view.endpoints,
         &mut fleet,
+        |id| gateway.idle_connections(&view, id),
         accepts,
     )
 }
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -21,6 +21,7 @@
 use wisteriaford_core::gateway::route::RouteTable;
 use wisteriaford_core::gateway::schedule::Schedule;
 use wisteriaford_core::gateway::weights::WeightPlan;
+use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::ModelId;
 use wisteriaford_core::id::TableVersion;
 use wisteriaford_core::id::Version;
@@ -177,6 +178,14 @@
         &self.freshness[topic as usize]
     }
 
+    /// Returns the number of free connections to an endpoint.
+    pub(crate) fn idle_connections(&self, view: &View, endpoint: &EndpointId) -> usize {
+        let found = view.endpoints.get(endpoint);
+        found.map_or(0, |found| {
+            self.client.idle_count(endpoint.as_str(), found.address)
+        })
+    }
+
     /// Returns a name that is unique over the fleet and all time.
     pub(crate) fn unique_name(&self) -> String {
         let number = self.counter.fetch_add(1, Ordering::Relaxed);
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -12,6 +12,7 @@
 use hyper::body::Frame;
 use tokio::sync::mpsc;
 use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::fleet::CALL_COSTS;
 use wisteriaford_core::gateway::fleet::Query;
 use wisteriaford_core::gateway::route::Route;
 use wisteriaford_core::id::EndpointId;
@@ -235,6 +236,7 @@
         affinity: None,
         max_in_flight: None,
         may_force: false,
+        costs: CALL_COSTS,
     };
     let fleet = call.gateway.fleet();
     let chosen = fleet.choose(clock::now(), &view.endpoints, &query, |_| 0, |_| true);
