--- a/wisteriaford_core/src/gateway/job.rs
+++ b/wisteriaford_core/src/gateway/job.rs
@@ -12,6 +12,7 @@
 use crate::id::JobId;
 use crate::id::MAX_ID_LEN_BYTES;
 use crate::id::ModelId;
+use crate::id::Offset;
 use crate::id::Version;
 
 /// Most items of one batch job.
@@ -38,9 +39,21 @@
     pub group: Option<GroupId>,
 }
 
-/// Batch job as it was submitted.
+/// Record of the contents topic, where items and texts are kept apart from what every instance
+/// reads.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct JobSpec {
+pub struct ContentRef {
+    /// Key of the record.
+    pub key: CompactString,
+    /// Offset of the record.
+    pub offset: Offset,
+    /// Size of the record.
+    pub size_bytes: u64,
+}
+
+/// Batch job without its items.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct JobHead {
     /// Name of the batch job.
     pub id: JobId,
     /// Host that it was submitted to.
@@ -57,6 +70,17 @@
     pub desired_groups: u32,
     /// Step of the trainer.
     pub step: u64,
+    /// Number of its items.
+    pub total_items: usize,
+    /// Where its items are; empty until they are in the log.
+    pub contents: Vec<ContentRef>,
+}
+
+/// Batch job as it was submitted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct JobSpec {
+    /// Everything but its items.
+    pub head: JobHead,
     /// Items in the order of the submission.
     pub items: Vec<Arc<ItemSpec>>,
 }
@@ -100,7 +124,7 @@
     ///
     /// Returns the first fault that is found.
     pub fn check(&self) -> Result<(), JobError> {
-        check_id("batch job's id", self.id.as_str())?;
+        check_id("batch job's id", self.head.id.as_str())?;
         if self.items.is_empty() {
             return Err(JobError::NoItems);
         }
@@ -142,7 +166,7 @@
     Abandoned,
 }
 
-/// Result of an item.
+/// Result of an item that is not listed yet.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ItemResult {
     /// Item that ended.
@@ -154,3 +178,18 @@
     /// Versions of the weights that generated an event of the text.
     pub versions: Vec<Version>,
 }
+
+/// Result of an item at its position.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedResult {
+    /// Item that ended.
+    pub item: ItemId,
+    /// How it ended.
+    pub state: ItemState,
+    /// Versions of the weights that generated an event of the text.
+    pub versions: Vec<Version>,
+    /// Where the text is.
+    pub content: Arc<ContentRef>,
+    /// Number of the text in the content.
+    pub text_index: usize,
+}
--- a/wisteriaford_core/src/gateway/job_fold.rs
+++ b/wisteriaford_core/src/gateway/job_fold.rs
@@ -9,9 +9,8 @@
 use compact_str::CompactString;
 use indexmap::IndexMap;
 
-use crate::gateway::job::ItemResult;
-use crate::gateway::job::ItemSpec;
-use crate::gateway::job::JobSpec;
+use crate::gateway::job::JobHead;
+use crate::gateway::job::ListedResult;
 use crate::gateway::record;
 use crate::gateway::record::JobRecord;
 use crate::gateway::record::RecordError;
@@ -19,34 +18,31 @@
 use crate::id::JobId;
 use crate::id::Offset;
 
-/// Submissions without an acceptance that are kept; the oldest yield.
-const MAX_OPEN_SUBMISSIONS: usize = 256;
-
 /// Batch job as the log tells it.
 #[derive(Clone, Debug)]
 pub struct Job {
     /// As it was submitted.
-    pub spec: Arc<JobSpec>,
+    pub head: Arc<JobHead>,
     /// Its submitter ended it.
     pub ended: bool,
     /// Failures of items at endpoints.
     pub failures: IndexMap<ItemId, u32>,
-    results: Vec<Arc<ItemResult>>,
+    results: Vec<Arc<ListedResult>>,
     positions: IndexMap<ItemId, usize>,
-    items: IndexMap<ItemId, Arc<ItemSpec>>,
     keys: Vec<CompactString>,
+    content_keys: Vec<CompactString>,
 }
 
 impl Job {
     /// Returns the results from a position on.
     #[must_use]
-    pub fn results_from(&self, position: usize) -> &[Arc<ItemResult>] {
+    pub fn results_from(&self, position: usize) -> &[Arc<ListedResult>] {
         self.results.get(position..).unwrap_or_default()
     }
 
     /// Returns the result of an item, if it is listed.
     #[must_use]
-    pub fn result_of(&self, item: &ItemId) -> Option<&Arc<ItemResult>> {
+    pub fn result_of(&self, item: &ItemId) -> Option<&Arc<ListedResult>> {
         self.results.get(*self.positions.get(item)?)
     }
 
@@ -59,13 +55,7 @@
     /// Returns whether every item has a result.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.results.len() >= self.spec.items.len()
-    }
-
-    /// Returns an item by name.
-    #[must_use]
-    pub fn item(&self, item: &ItemId) -> Option<&Arc<ItemSpec>> {
-        self.items.get(item)
+        self.results.len() >= self.head.total_items
     }
 
     /// Returns the keys of all records of the batch job.
@@ -73,6 +63,12 @@
     pub fn keys(&self) -> &[CompactString] {
         &self.keys
     }
+
+    /// Returns the keys of all contents of the batch job.
+    #[must_use]
+    pub fn content_keys(&self) -> &[CompactString] {
+        &self.content_keys
+    }
 }
 
 /// What a record changed.
@@ -94,17 +90,10 @@
     Nothing,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Submission {
-    items: Vec<Arc<ItemSpec>>,
-    keys: Vec<CompactString>,
-}
-
 /// Batch jobs by name, folded from the log.
 #[derive(Clone, Debug, Default)]
 pub struct JobFold {
     jobs: IndexMap<JobId, Job>,
-    submissions: IndexMap<CompactString, Submission>,
     next_offset: Offset,
 }
 
@@ -151,12 +140,7 @@
             return Ok(self.delete(key));
         };
         Ok(match record::decode(value)? {
-            JobRecord::Items { submission, items } => self.add_items(key, submission, items),
-            JobRecord::Accepted {
-                submission,
-                job,
-                total_items,
-            } => self.accept(key, &submission, job, total_items),
+            JobRecord::Accepted(head) => self.accept(key, head),
             JobRecord::Results { job, results } => self.list(key, &job, results),
             JobRecord::Ended { job } => self.end(key, &job),
             JobRecord::Failed {
@@ -167,69 +151,43 @@
         })
     }
 
-    fn add_items(
-        &mut self,
-        key: &str,
-        submission: CompactString,
-        items: Vec<Arc<ItemSpec>>,
-    ) -> JobChange {
-        if self.submissions.len() >= MAX_OPEN_SUBMISSIONS {
-            self.submissions.shift_remove_index(0);
+    fn accept(&mut self, key: &str, head: JobHead) -> JobChange {
+        let contents = head.contents.iter().map(|content| content.key.clone());
+        let contents: Vec<CompactString> = contents.collect();
+        if let Some(job) = self.jobs.get_mut(&head.id) {
+            job.keys.push(key.into());
+            job.content_keys.extend(contents);
+            return JobChange::Repeated(head.id);
         }
-        let open = self.submissions.entry(submission).or_default();
-        open.items.extend(items);
-        open.keys.push(key.into());
-        JobChange::Nothing
-    }
-
-    fn accept(
-        &mut self,
-        key: &str,
-        submission: &str,
-        mut spec: JobSpec,
-        total_items: usize,
-    ) -> JobChange {
-        let open = self.submissions.shift_remove(submission);
-        let Submission { items, mut keys } = open.unwrap_or_default();
-        if items.len() != total_items {
-            return JobChange::Nothing;
-        }
-        keys.push(key.into());
-        if let Some(job) = self.jobs.get_mut(&spec.id) {
-            job.keys.extend(keys);
-            return JobChange::Repeated(spec.id);
-        }
-        spec.items = items;
-        let by_name = spec.items.iter();
-        let by_name = by_name.map(|item| (item.id.clone(), Arc::clone(item)));
-        let by_name: IndexMap<_, _> = by_name.collect();
-        let id = spec.id.clone();
+        let id = head.id.clone();
         let job = Job {
-            spec: Arc::new(spec),
+            head: Arc::new(head),
             ended: false,
             failures: IndexMap::new(),
             results: Vec::new(),
             positions: IndexMap::new(),
-            items: by_name,
-            keys,
+            keys: vec![key.into()],
+            content_keys: contents,
         };
         self.jobs.insert(id.clone(), job);
         JobChange::Accepted(id)
     }
 
-    fn list(&mut self, key: &str, id: &JobId, results: Vec<ItemResult>) -> JobChange {
+    fn list(&mut self, key: &str, id: &JobId, results: Vec<ListedResult>) -> JobChange {
         let Some(job) = self.jobs.get_mut(id) else {
             return JobChange::Nothing;
         };
         job.keys.push(key.into());
+        if let Some(result) = results.first() {
+            job.content_keys.push(result.content.key.clone());
+        }
         let mut listed = Vec::with_capacity(results.len());
         for result in results {
-            let is_new = !job.positions.contains_key(&result.item);
-            if !is_new || job.item(&result.item).is_none() {
+            let is_known = job.positions.contains_key(&result.item);
+            if is_known || job.is_complete() {
                 continue;
             }
-            let position = job.results.len();
-            job.positions.insert(result.item.clone(), position);
+            job.positions.insert(result.item.clone(), job.results.len());
             listed.push(result.item.clone());
             job.results.push(Arc::new(result));
         }
@@ -259,7 +217,7 @@
         let name = key
             .strip_prefix("job/")
             .and_then(|rest| rest.rsplit_once('/'));
-        let Some((id, _submission)) = name else {
+        let Some((id, _unique)) = name else {
             return JobChange::Nothing;
         };
         let id = JobId::from(id);
--- a/wisteriaford_core/src/gateway/record.rs
+++ b/wisteriaford_core/src/gateway/record.rs
@@ -1,7 +1,10 @@
 //! Records of batch jobs in the log, and their keys.
 //!
-//! The log keeps the newest record of each key for good. Every record of a batch job has a key of
-//! its own, so none replaces another and the order of the results never changes.
+//! Every instance reads the topic of batch jobs. Items and texts make up nearly all the bytes, so
+//! they are kept in a topic of contents, from which an instance reads what it needs.
+//!
+//! The log keeps the newest record of each key for good. Every record has a key of its own, so
+//! none replaces another and the order of the results never changes.
 
 use std::sync::Arc;
 
@@ -10,20 +13,27 @@
 use prost::DecodeError;
 use prost::Message;
 use wisteriaford_proto::job as proto;
+use wisteriaford_proto::job::content;
 use wisteriaford_proto::job::job_record::Kind;
 
+use crate::gateway::job::ContentRef;
 use crate::gateway::job::ItemResult;
 use crate::gateway::job::ItemSpec;
 use crate::gateway::job::ItemState;
+use crate::gateway::job::JobHead;
 use crate::gateway::job::JobSpec;
+use crate::gateway::job::ListedResult;
 use crate::id::GroupId;
 use crate::id::ItemId;
 use crate::id::JobId;
 use crate::id::ModelId;
+use crate::id::Offset;
 use crate::id::Version;
 
 /// Bytes of a record that are left for its key and the encoding around its content.
 const RECORD_OVERHEAD_BYTES: usize = 1_024;
+/// Bytes that the encoding adds to each item.
+const ITEM_OVERHEAD_BYTES: usize = 8;
 
 /// Record with its key; without a value the key is dropped.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,31 +44,39 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl KeyedValue {
+    /// Returns a reference to the record, once its offset is known.
+    #[must_use]
+    pub fn content_ref(&self, offset: Offset) -> ContentRef {
+        let size_bytes = self.key.len() + self.value.as_ref().map_or(0, Vec::len);
+        ContentRef {
+            key: self.key.clone(),
+            offset,
+            size_bytes: u64::try_from(size_bytes).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+/// What a record of the contents topic holds.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Content {
+    /// Some items of a batch job.
+    Items(Vec<Arc<ItemSpec>>),
+    /// Texts of some results.
+    Texts(Vec<String>),
+}
+
 /// What a record says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum JobRecord {
-    /// Some items of a submission that may be accepted by a later record.
-    Items {
-        /// Submission that they belong to.
-        submission: CompactString,
-        /// The items.
-        items: Vec<Arc<ItemSpec>>,
-    },
-    /// A batch job is accepted, with the items of its submission before this record.
-    Accepted {
-        /// Submission that is accepted.
-        submission: CompactString,
-        /// The batch job, without items.
-        job: JobSpec,
-        /// Number of its items.
-        total_items: usize,
-    },
+    /// A batch job is accepted.
+    Accepted(JobHead),
     /// Items of a batch job ended.
     Results {
         /// The batch job.
         job: JobId,
         /// Results in the order of their positions.
-        results: Vec<ItemResult>,
+        results: Vec<ListedResult>,
     },
     /// A batch job was ended by its submitter.
     Ended {
@@ -87,56 +105,72 @@
     Empty,
 }
 
-/// Returns the records that accept a batch job, the accepting one last.
+/// Returns the contents that hold the items of a batch job.
 ///
-/// No record exceeds `max_record_bytes`, unless a single item does.
+/// No record exceeds `max_record_bytes`, unless a single item does. `unique` must differ for each
+/// submission of the whole fleet.
 #[must_use]
-pub fn accept_records(job: &JobSpec, submission: &str, max_record_bytes: usize) -> Vec<KeyedValue> {
+pub fn item_contents(job: &JobSpec, unique: &str, max_record_bytes: usize) -> Vec<KeyedValue> {
     let room_bytes = max_record_bytes.saturating_sub(RECORD_OVERHEAD_BYTES);
-    let mut records = Vec::new();
-    let mut items = Vec::new();
+    let mut chunks = vec![Vec::new()];
     let mut size_bytes = 0;
     for item in job.items.iter().map(|item| encode_item(item)) {
-        let item_bytes = item.encoded_len() + 8;
-        if !items.is_empty() && size_bytes + item_bytes > room_bytes {
-            let part = records.len();
-            records.push(items_record(
-                job,
-                submission,
-                part,
-                std::mem::take(&mut items),
-            ));
+        let item_bytes = item.encoded_len() + ITEM_OVERHEAD_BYTES;
+        if size_bytes > 0 && size_bytes + item_bytes > room_bytes {
+            chunks.push(Vec::new());
             size_bytes = 0;
         }
         size_bytes += item_bytes;
-        items.push(item);
+        if let Some(chunk) = chunks.last_mut() {
+            chunk.push(item);
+        }
     }
-    let part = records.len();
-    records.push(items_record(job, submission, part, items));
-    records.push(accepted_record(job, submission));
-    records
+    let job = &job.head.id;
+    let records = chunks.into_iter().enumerate().map(|(part, items)| {
+        let content = content::Kind::Items(proto::JobItems { items });
+        KeyedValue {
+            key: format_compact!("items/{job}/{unique}/{part}"),
+            value: encode_content(content),
+        }
+    });
+    records.collect()
 }
 
-fn items_record(
-    job: &JobSpec,
-    submission: &str,
-    part: usize,
-    items: Vec<proto::Item>,
-) -> KeyedValue {
-    let submission_id = submission.to_owned();
+/// Returns the content that holds the texts of results.
+#[must_use]
+pub fn text_content(job: &JobId, unique: &str, results: &[ItemResult]) -> KeyedValue {
+    let texts = results.iter().map(|result| result.text.clone()).collect();
     KeyedValue {
-        key: format_compact!("items/{}/{submission}/{part}", job.id),
-        value: encode(Kind::Items(proto::JobItems {
-            submission: submission_id,
-            items,
-        })),
+        key: format_compact!("texts/{job}/{unique}"),
+        value: encode_content(content::Kind::Texts(proto::ResultTexts { texts })),
     }
 }
 
-fn accepted_record(job: &JobSpec, submission: &str) -> KeyedValue {
+fn encode_content(kind: content::Kind) -> Option<Vec<u8>> {
+    Some(proto::Content { kind: Some(kind) }.encode_to_vec())
+}
+
+/// Decodes a record of the contents topic.
+///
+/// # Errors
+///
+/// Fails on bytes of another format or a kind that is not known.
+pub fn decode_content(value: &[u8]) -> Result<Content, RecordError> {
+    let content = proto::Content::decode(value)?;
+    Ok(match content.kind.ok_or(RecordError::Empty)? {
+        content::Kind::Items(part) => {
+            Content::Items(part.items.into_iter().map(decode_item).collect())
+        }
+        content::Kind::Texts(part) => Content::Texts(part.texts),
+    })
+}
+
+/// Returns the record that accepts a batch job.
+#[must_use]
+pub fn accepted_record(job: &JobHead, unique: &str) -> KeyedValue {
     let accepted = proto::JobAccepted {
         job: String::from(&job.id),
-        submission: submission.to_owned(),
+        contents: job.contents.iter().map(encode_ref).collect(),
         host: job.host.to_string(),
         path: job.path.to_string(),
         submitted_unix_ms: job.submitted_unix_ms,
@@ -144,24 +178,28 @@
         min_version: job.min_version.0,
         desired_groups: job.desired_groups,
         step: job.step,
-        total_items: u32::try_from(job.items.len()).unwrap_or(u32::MAX),
+        total_items: u32::try_from(job.total_items).unwrap_or(u32::MAX),
     };
     KeyedValue {
-        key: format_compact!("job/{}/{submission}", job.id),
+        key: format_compact!("job/{}/{unique}", job.id),
         value: encode(Kind::Accepted(accepted)),
     }
 }
 
 /// Returns the record of results; `unique` must differ for each append of the whole fleet.
 #[must_use]
-pub fn results_record(job: &JobId, unique: &str, results: &[ItemResult]) -> KeyedValue {
-    let results = results.iter().map(|result| proto::ItemResult {
+pub fn results_record(
+    job: &JobId,
+    unique: &str,
+    results: &[ItemResult],
+    content: &ContentRef,
+) -> KeyedValue {
+    let results = results.iter().map(|result| proto::ListedResult {
         item: String::from(&result.item),
         state: match result.state {
             ItemState::Completed => proto::ItemState::Completed.into(),
             ItemState::Abandoned => proto::ItemState::Abandoned.into(),
         },
-        text: result.text.clone(),
         versions: result.versions.iter().map(|version| version.0).collect(),
     });
     KeyedValue {
@@ -169,6 +207,7 @@
         value: encode(Kind::Results(proto::JobResults {
             job: String::from(job),
             results: results.collect(),
+            content: Some(encode_ref(content)),
         })),
     }
 }
@@ -205,15 +244,17 @@
 pub fn decode(value: &[u8]) -> Result<JobRecord, RecordError> {
     let record = proto::JobRecord::decode(value)?;
     Ok(match record.kind.ok_or(RecordError::Empty)? {
-        Kind::Items(part) => JobRecord::Items {
-            submission: part.submission.into(),
-            items: part.items.into_iter().map(decode_item).collect(),
-        },
-        Kind::Accepted(accepted) => decode_accepted(accepted),
-        Kind::Results(list) => JobRecord::Results {
-            job: list.job.into(),
-            results: list.results.into_iter().map(decode_result).collect(),
-        },
+        Kind::Accepted(accepted) => JobRecord::Accepted(decode_accepted(accepted)),
+        Kind::Results(list) => {
+            let content = Arc::new(decode_ref(list.content.ok_or(RecordError::Empty)?));
+            let results = list.results.into_iter().enumerate();
+            JobRecord::Results {
+                job: list.job.into(),
+                results: results
+                    .map(|(index, result)| decode_result(result, &content, index))
+                    .collect(),
+            }
+        }
         Kind::Ended(ended) => JobRecord::Ended {
             job: ended.job.into(),
         },
@@ -229,6 +270,22 @@
     Some(proto::JobRecord { kind: Some(kind) }.encode_to_vec())
 }
 
+fn encode_ref(content: &ContentRef) -> proto::ContentRef {
+    proto::ContentRef {
+        key: content.key.to_string(),
+        offset: content.offset.0,
+        size_bytes: content.size_bytes,
+    }
+}
+
+fn decode_ref(content: proto::ContentRef) -> ContentRef {
+    ContentRef {
+        key: content.key.into(),
+        offset: Offset(content.offset),
+        size_bytes: content.size_bytes,
+    }
+}
+
 fn encode_item(item: &ItemSpec) -> proto::Item {
     let headers = item.headers.iter().map(|(name, value)| proto::Header {
         name: name.to_string(),
@@ -260,35 +317,37 @@
     })
 }
 
-fn decode_accepted(accepted: proto::JobAccepted) -> JobRecord {
-    JobRecord::Accepted {
-        submission: accepted.submission.into(),
+fn decode_accepted(accepted: proto::JobAccepted) -> JobHead {
+    JobHead {
+        id: accepted.job.into(),
+        host: accepted.host.into(),
+        path: accepted.path.into(),
+        submitted_unix_ms: accepted.submitted_unix_ms,
+        model: Some(accepted.model)
+            .filter(|model| !model.is_empty())
+            .map(ModelId::from),
+        min_version: Version(accepted.min_version),
+        desired_groups: accepted.desired_groups,
+        step: accepted.step,
         total_items: accepted.total_items as usize,
-        job: JobSpec {
-            id: accepted.job.into(),
-            host: accepted.host.into(),
-            path: accepted.path.into(),
-            submitted_unix_ms: accepted.submitted_unix_ms,
-            model: Some(accepted.model)
-                .filter(|model| !model.is_empty())
-                .map(ModelId::from),
-            min_version: Version(accepted.min_version),
-            desired_groups: accepted.desired_groups,
-            step: accepted.step,
-            items: Vec::new(),
-        },
+        contents: accepted.contents.into_iter().map(decode_ref).collect(),
     }
 }
 
-fn decode_result(result: proto::ItemResult) -> ItemResult {
+fn decode_result(
+    result: proto::ListedResult,
+    content: &Arc<ContentRef>,
+    text_index: usize,
+) -> ListedResult {
     let state = match result.state() {
         proto::ItemState::Completed => ItemState::Completed,
         proto::ItemState::Abandoned | proto::ItemState::Unspecified => ItemState::Abandoned,
     };
-    ItemResult {
+    ListedResult {
         item: result.item.into(),
         state,
-        text: result.text,
         versions: result.versions.into_iter().map(Version).collect(),
+        content: Arc::clone(content),
+        text_index,
     }
 }
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -20,7 +20,7 @@
 use crate::gateway::job::ItemResult;
 use crate::gateway::job::ItemSpec;
 use crate::gateway::job::ItemState;
-use crate::gateway::job::JobSpec;
+use crate::gateway::job::JobHead;
 use crate::gateway::job_fold::Job;
 use crate::gateway::route::Route;
 use crate::gateway::route::RouteTable;
@@ -84,7 +84,7 @@
 #[derive(Clone, Debug)]
 pub struct Start {
     /// Batch job of the item.
-    pub job: Arc<JobSpec>,
+    pub job: Arc<JobHead>,
     /// The item.
     pub item: Arc<ItemSpec>,
     /// Number of the run.
@@ -145,12 +145,11 @@
     phase: ItemPhase,
     progress: Progress,
     failures: u32,
-    last_endpoint: Option<EndpointId>,
 }
 
 #[derive(Clone, Debug)]
 struct ActiveJob {
-    spec: Arc<JobSpec>,
+    head: Arc<JobHead>,
     items: IndexMap<ItemId, ItemRun>,
     /// Order in which items start.
     order: Vec<ItemId>,
@@ -191,23 +190,21 @@
 }
 
 impl Schedule {
-    /// Takes a batch job that is open, with the items that are listed already left out.
-    pub fn open(&mut self, job: &Job, reusable: impl Fn(&ItemSpec) -> Option<Progress>) {
-        if self.jobs.contains_key(&job.spec.id) {
+    /// Takes a batch job that is open, and leaves out the items that are listed already.
+    pub fn open(&mut self, job: &Job, specs: &[Arc<ItemSpec>]) {
+        let head = &job.head;
+        if self.jobs.contains_key(&head.id) {
             return;
         }
         let mut items = IndexMap::new();
-        for spec in &job.spec.items {
+        for spec in specs {
             if job.result_of(&spec.id).is_some() {
                 continue;
             }
             let kept = self.carried.shift_remove(&spec.id);
             let kept = kept.filter(|(before, _)| is_same_work(before, spec));
-            let progress = kept
-                .map(|(_, progress)| progress)
-                .or_else(|| reusable(spec));
-            let min_version = job.spec.min_version;
-            let progress = progress.filter(|p| p.versions.iter().all(|v| *v >= min_version));
+            let progress = kept.map(|(_, progress)| progress);
+            let progress = progress.filter(|p| p.versions.iter().all(|v| *v >= head.min_version));
             let run = ItemRun {
                 spec: Arc::clone(spec),
                 phase: ItemPhase::Waiting {
@@ -215,22 +212,21 @@
                 },
                 progress: progress.unwrap_or_default(),
                 failures: job.failures.get(&spec.id).copied().unwrap_or(0),
-                last_endpoint: None,
             };
             items.insert(spec.id.clone(), run);
         }
-        if let Some(model) = &job.spec.model {
-            let count = u64::try_from(job.spec.items.len()).unwrap_or(u64::MAX);
+        if let Some(model) = &head.model {
+            let count = u64::try_from(specs.len()).unwrap_or(u64::MAX);
             self.items_by_model.insert(model.clone(), count);
         }
-        let order = start_order(&job.spec.items, &items);
+        let order = start_order(specs, &items);
         let active = ActiveJob {
-            spec: Arc::clone(&job.spec),
+            head: Arc::clone(head),
             items,
             order,
             group_endpoints: IndexMap::new(),
         };
-        self.jobs.insert(job.spec.id.clone(), active);
+        self.jobs.insert(head.id.clone(), active);
     }
 
     /// Closes a batch job and keeps the progress of its unfinished items; returns the runs to stop.
@@ -298,7 +294,7 @@
             demand.entry(model.clone()).or_default().items = *items;
         }
         for active in self.jobs.values() {
-            let Some(model) = &active.spec.model else {
+            let Some(model) = &active.head.model else {
                 continue;
             };
             let demand = demand.entry(model.clone()).or_default();
@@ -324,7 +320,7 @@
         endpoints: &EndpointTable,
         fleet: &mut Fleet,
         idle_connections: impl Fn(&EndpointId) -> usize,
-        accepts: impl Fn(&Endpoint, &JobSpec, Option<Version>) -> bool,
+        accepts: impl Fn(&Endpoint, &JobHead, Option<Version>) -> bool,
     ) -> Vec<Start> {
         let mut starts = Vec::new();
         for active in self.jobs.values_mut() {
@@ -339,14 +335,14 @@
                 if not_before > now {
                     continue;
                 }
-                let Some(route) = routes.find(&active.spec.host, &item.spec.path) else {
+                let Some(route) = routes.find(&active.head.host, &item.spec.path) else {
                     continue;
                 };
-                let Some(time_left) = time_left(&active.spec, route, unix_ms) else {
+                let Some(time_left) = time_left(&active.head, route, unix_ms) else {
                     continue;
                 };
                 let exact = exact_version(route, item);
-                let job = &active.spec;
+                let job = &active.head;
                 let admits = |endpoint: &Endpoint| accepts(endpoint, job, exact);
                 let group = item.spec.group.as_ref();
                 let affinity = group.and_then(|group| active.group_endpoints.get(group));
@@ -364,19 +360,18 @@
                     endpoint: endpoint.id.clone(),
                     since: now,
                 };
-                item.last_endpoint = Some(endpoint.id.clone());
                 fleet.started(&endpoint.id);
                 if let Some(group) = group {
                     let kept = active.group_endpoints.entry(group.clone());
                     kept.or_insert_with(|| endpoint.id.clone());
                 }
                 starts.push(Start {
-                    job: Arc::clone(&active.spec),
+                    job: Arc::clone(&active.head),
                     item: Arc::clone(&item.spec),
                     run,
                     endpoint: endpoint.clone(),
                     after_event: item.progress.last_event,
-                    min_version: active.spec.min_version,
+                    min_version: active.head.min_version,
                     exact_version: exact,
                     time_left,
                     reason,
@@ -510,18 +505,18 @@
     pub fn give_up(&mut self, unix_ms: u64, routes: &RouteTable) -> Vec<Finished> {
         let mut finished = Vec::new();
         for active in self.jobs.values_mut() {
-            let spec = &active.spec;
+            let head = &active.head;
             for item in active.items.values_mut() {
                 if item.phase == ItemPhase::Done {
                     continue;
                 }
-                let route = routes.find(&spec.host, &item.spec.path);
-                if route.is_some_and(|route| time_left(spec, route, unix_ms).is_some()) {
+                let route = routes.find(&head.host, &item.spec.path);
+                if route.is_some_and(|route| time_left(head, route, unix_ms).is_some()) {
                     continue;
                 }
                 item.phase = ItemPhase::Done;
                 finished.push(Finished {
-                    job: spec.id.clone(),
+                    job: head.id.clone(),
                     result: ItemResult {
                         item: item.spec.id.clone(),
                         state: ItemState::Abandoned,
@@ -599,7 +594,7 @@
 }
 
 /// Returns the time until an item is given up, or `None` if it is over.
-fn time_left(job: &JobSpec, route: &Route, unix_ms: u64) -> Option<Duration> {
+fn time_left(job: &JobHead, route: &Route, unix_ms: u64) -> Option<Duration> {
     let retention = route.retention.unwrap_or(Duration::MAX);
     let age = Duration::from_millis(unix_ms.saturating_sub(job.submitted_unix_ms));
     retention.checked_sub(age).filter(|left| !left.is_zero())
--- a/wisteriaford_gateway/src/border.rs
+++ b/wisteriaford_gateway/src/border.rs
@@ -1,5 +1,6 @@
 //! What the gateway needs from the outside, as traits that an adapter implements.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,8 +13,9 @@
 use http::StatusCode;
 use http::request::Parts;
 use wisteriaford_core::gateway::endpoint::Endpoint;
-use wisteriaford_core::gateway::job::ItemResult;
 use wisteriaford_core::gateway::job::JobSpec;
+use wisteriaford_core::gateway::job::ListedResult;
+use wisteriaford_core::gateway::record::Content;
 use wisteriaford_core::gateway::record::KeyedValue;
 use wisteriaford_core::gateway::route::RouteTable;
 use wisteriaford_core::gateway::schedule::Start;
@@ -40,6 +42,9 @@
     /// Batch jobs.
     #[display("jobs")]
     Jobs,
+    /// Items and texts of batch jobs.
+    #[display("contents")]
+    Contents,
     /// Lease of the runner's duty.
     #[display("duty")]
     Duty,
@@ -148,6 +153,14 @@
         wait: Duration,
     ) -> BoxFuture<'_, Result<LogPage, LogError>>;
 
+    /// Reads the record at an offset, of a size that is known.
+    fn fetch(
+        &self,
+        topic: Topic,
+        offset: Offset,
+        size_bytes: u64,
+    ) -> BoxFuture<'_, Result<LogRecord, LogError>>;
+
     /// Reads the newest record of each key, in pages.
     fn newest(
         &self,
@@ -155,13 +168,15 @@
         after: Option<CompactString>,
     ) -> BoxFuture<'_, Result<NewestPage, LogError>>;
 
-    /// Returns the bounds on appends.
+    /// Returns the bounds on calls.
     fn bounds(&self) -> LogBounds;
 }
 
-/// Bounds on appends to the log.
+/// Bounds on calls of the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LogBounds {
+    /// Reading calls a second that all instances may make together.
+    pub max_reads_per_s: u32,
     /// Most bytes of a record.
     pub max_record_bytes: usize,
     /// Most bytes of the records of one append.
@@ -264,6 +279,26 @@
     pub target: CallerTarget,
 }
 
+/// Result of an item with its text.
+#[derive(Clone, Debug)]
+pub struct PageResult {
+    /// The result.
+    pub listed: Arc<ListedResult>,
+    /// Content that holds its text.
+    pub content: Arc<Content>,
+}
+
+impl PageResult {
+    /// Returns the data of all events in order, separated by line feeds.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        match &*self.content {
+            Content::Texts(texts) => texts.get(self.listed.text_index).map_or("", String::as_str),
+            Content::Items(_) => "",
+        }
+    }
+}
+
 /// Results of a batch job from a position on.
 #[derive(Clone, Debug)]
 pub struct ResultsPage {
@@ -272,7 +307,7 @@
     /// Position after the last result of the page.
     pub next: usize,
     /// The results.
-    pub results: Vec<std::sync::Arc<ItemResult>>,
+    pub results: Vec<PageResult>,
 }
 
 /// How callers speak.
--- a/wisteriaford_gateway/src/caller_jobs.rs
+++ b/wisteriaford_gateway/src/caller_jobs.rs
@@ -1,8 +1,10 @@
 //! Callers' requests about batch jobs: submit, read, end.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -18,9 +20,12 @@
 use crate::border::CallerHead;
 use crate::border::Log;
 use crate::border::LogError;
+use crate::border::PageResult;
 use crate::border::ResultsPage;
 use crate::border::Topic;
 use crate::clock;
+use crate::contents;
+use crate::contents::ContentError;
 use crate::refusal::Answer;
 use crate::refusal::Reason;
 use crate::refusal::refuse;
@@ -40,6 +45,10 @@
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time between two looks for batch jobs to delete.
 const DELETE_INTERVAL: Duration = Duration::from_secs(10);
+/// Most batch jobs that are deleted in one append.
+const MAX_DELETED_AT_ONCE: usize = 50;
+/// Bytes that a result's names take in an answer beside its text.
+const RESULT_OVERHEAD_BYTES: usize = 200;
 /// Time that a batch job is kept beyond its retention, for clocks that run apart.
 const DELETE_MARGIN: Duration = Duration::from_secs(30);
 /// Most bytes of the results in one answer, with room for the encoding around them.
@@ -61,8 +70,8 @@
     if let Err(error) = job.check() {
         return refuse_job(head, &error);
     }
-    if gateway.jobs().get(&job.id).is_some() {
-        log::info!(job:% = job.id; "batch job submitted again, known already");
+    if gateway.jobs().get(&job.head.id).is_some() {
+        log::info!(job:% = job.head.id; "batch job submitted again, known already");
         return status_only(StatusCode::ACCEPTED);
     }
     let time = head.time_left.unwrap_or(DEFAULT_SUBMIT_TIME);
@@ -73,8 +82,8 @@
     match outcome {
         Ok(()) => {
             log::info!(
-                job:% = job.id, route:% = route.id, items = job.items.len(), step = job.step,
-                min_version = job.min_version.0, body_bytes = body.len(),
+                job:% = job.head.id, route:% = route.id, items = job.items.len(), step = job.head.step,
+                min_version = job.head.min_version.0, body_bytes = body.len(),
                 took_ms = taken.as_millis();
                 "batch job acknowledged"
             );
@@ -82,7 +91,7 @@
         }
         Err(reason) => {
             log::warn!(
-                job:% = job.id, route:% = route.id, reason:% = reason, took_ms = taken.as_millis();
+                job:% = job.head.id, route:% = route.id, reason:% = reason, took_ms = taken.as_millis();
                 "batch job not acknowledged"
             );
             gateway.metrics.refused(reason);
@@ -100,24 +109,21 @@
 
 /// Appends a batch job; on an unknown outcome, waits until it is read back.
 async fn append_job(gateway: &Gateway, job: &JobSpec, deadline: Timestamp) -> Result<(), Reason> {
-    let bounds = gateway.log.bounds();
+    let id = &job.head.id;
     let mut may_be_there = false;
     loop {
-        let submission = gateway.unique_name();
-        let records = record::accept_records(job, &submission, bounds.max_record_bytes);
-        match append_all(gateway, records, bounds.max_append_bytes).await {
+        match append_once(gateway, job, &mut may_be_there).await {
             Ok(()) => return Ok(()),
             Err(error) => {
                 gateway.metrics.log_failures.add(1, &[]);
-                may_be_there |= error.may_have_effect();
                 log::warn!(
-                    job:% = job.id, error:% = error, may_be_there = may_be_there;
+                    job:% = id, error:% = error, may_be_there = may_be_there;
                     "batch job not appended"
                 );
             }
         }
         let left = deadline.since(clock::now());
-        if left > APPEND_BACKOFF && wait_for_job(gateway, &job.id, APPEND_BACKOFF).await {
+        if left > APPEND_BACKOFF && wait_for_job(gateway, id, APPEND_BACKOFF).await {
             return Ok(());
         }
         if left <= APPEND_BACKOFF {
@@ -130,26 +136,22 @@
     }
 }
 
-/// Appends records in as few calls as their size allows; the last one counts.
-async fn append_all(
+/// Appends the items of a batch job, and then the record that accepts it.
+async fn append_once(
     gateway: &Gateway,
-    records: Vec<KeyedValue>,
-    max_append_bytes: usize,
+    job: &JobSpec,
+    may_be_there: &mut bool,
 ) -> Result<(), LogError> {
-    let mut call = Vec::new();
-    let mut size_bytes = 0;
-    for record in records {
-        let record_bytes = record.key.len() + record.value.as_ref().map_or(0, Vec::len) + 8;
-        if !call.is_empty() && size_bytes + record_bytes > max_append_bytes {
-            let full = std::mem::take(&mut call);
-            gateway.log.append(Topic::Jobs, full, None).await?;
-            size_bytes = 0;
-        }
-        size_bytes += record_bytes;
-        call.push(record);
+    let unique = gateway.unique_name();
+    let max_bytes = gateway.log.bounds().max_record_bytes;
+    let mut head = job.head.clone();
+    for record in record::item_contents(job, &unique, max_bytes) {
+        head.contents.push(contents::append(gateway, record).await?);
     }
-    gateway.log.append(Topic::Jobs, call, None).await?;
-    Ok(())
+    let records = vec![record::accepted_record(&head, &unique)];
+    let appended = gateway.log.append(Topic::Jobs, records, None).await;
+    *may_be_there |= appended.as_ref().is_err_and(LogError::may_have_effect);
+    appended.map(|_| ())
 }
 
 /// Waits until a batch job is known, and returns whether it is.
@@ -191,7 +193,14 @@
         // Without a result in time, an empty page is the answer.
         drop(tokio::time::timeout(wait, more).await);
     }
-    let page = page(gateway, job, position);
+    let page = match page(gateway, job, position).await {
+        Ok(page) => page,
+        Err(error) => {
+            log::warn!(job:% = job, error:% = error; "results not read");
+            gateway.metrics.refused(Reason::LogUnavailable);
+            return refuse(Reason::LogUnavailable, Some(STALE_RETRY_AFTER));
+        }
+    };
     let settle = gateway.settings.load().settle;
     let age = clock::now().since(gateway.freshness(Topic::Jobs).as_of());
     match page {
@@ -222,23 +231,41 @@
     );
 }
 
-fn page(gateway: &Gateway, job: &JobId, position: usize) -> Option<ResultsPage> {
-    let jobs = gateway.jobs();
-    let job = jobs.get(job)?;
-    let mut results = Vec::new();
+/// Returns results with their texts, as many as fit into one answer.
+async fn page(
+    gateway: &Gateway,
+    job: &JobId,
+    position: usize,
+) -> Result<Option<ResultsPage>, ContentError> {
+    let (total, listed) = {
+        let jobs = gateway.jobs();
+        let Some(job) = jobs.get(job) else {
+            return Ok(None);
+        };
+        (job.head.total_items, job.results_from(position).to_vec())
+    };
+    let mut results: Vec<PageResult> = Vec::new();
     let mut size_bytes = 0;
-    for result in job.results_from(position) {
-        size_bytes += result.text.len() + 200;
+    for listed in listed {
+        let last = results
+            .last()
+            .filter(|last| last.listed.content == listed.content);
+        let content = match last {
+            Some(last) => Arc::clone(&last.content),
+            None => contents::fetch(gateway, &listed.content).await?,
+        };
+        let result = PageResult { listed, content };
+        size_bytes += result.text().len() + RESULT_OVERHEAD_BYTES;
         if !results.is_empty() && size_bytes > MAX_PAGE_BYTES {
             break;
         }
-        results.push(std::sync::Arc::clone(result));
+        results.push(result);
     }
-    Some(ResultsPage {
-        total: job.spec.items.len(),
+    Ok(Some(ResultsPage {
+        total,
         next: position + results.len(),
         results,
-    })
+    }))
 }
 
 fn json(body: Bytes) -> Answer {
@@ -251,26 +278,31 @@
 /// Returns the body of an item that is not listed yet.
 pub(crate) async fn item_body(gateway: &Gateway, job: &JobId, item: &ItemId) -> Answer {
     let arrived = clock::now();
-    let find = || {
-        let jobs = gateway.jobs();
-        let found = jobs.get(job)?.item(item)?;
-        Some(found.body.clone())
-    };
-    if let Some(body) = find() {
-        return Response::new(whole(body));
-    }
-    let current = wait_until_current(gateway, arrived).await;
-    if let Some(body) = find() {
-        return Response::new(whole(body));
+    let find = || gateway.jobs().get(job).map(|job| Arc::clone(&job.head));
+    let mut head = find();
+    let mut current = true;
+    if head.is_none() {
+        current = wait_until_current(gateway, arrived).await;
+        head = find();
     }
-    let reason = if current {
-        Reason::NoSuchJob
-    } else {
-        Reason::NotCurrent
-    };
     let age = clock::now().since(gateway.freshness(Topic::Jobs).as_of());
+    let reason = match head {
+        Some(head) => match contents::items(gateway, &head).await {
+            Ok(items) => match items.iter().find(|spec| spec.id == *item) {
+                Some(spec) => return Response::new(whole(spec.body.clone())),
+                None => Reason::NoSuchJob,
+            },
+            Err(error) => {
+                log::warn!(job:% = job, item:% = item, error:% = error; "item not read");
+                Reason::LogUnavailable
+            }
+        },
+        None if current => Reason::NoSuchJob,
+        None => Reason::NotCurrent,
+    };
     note_read(gateway, job, reason, age);
-    refuse(reason, (!current).then_some(STALE_RETRY_AFTER))
+    let wait = (reason != Reason::NoSuchJob).then_some(STALE_RETRY_AFTER);
+    refuse(reason, wait)
 }
 
 /// Ends a batch job: its answer is sent once the log has the end.
@@ -316,38 +348,54 @@
 }
 
 /// Deletes batch jobs that nobody may ask for any more, while this instance has the duty.
-pub(crate) async fn delete_expired(gateway: std::sync::Arc<Gateway>) {
+pub(crate) async fn delete_expired(gateway: Arc<Gateway>) {
     loop {
         tokio::time::sleep(DELETE_INTERVAL).await;
         if gateway.duty().held().is_none() {
             continue;
         }
         let retention = gateway.settings.load().result_retention + DELETE_MARGIN;
-        let records = expired_records(&gateway, retention);
+        let (records, contents) = expired_records(&gateway, retention);
         if records.is_empty() {
             continue;
         }
-        let count = records.len();
-        match gateway.log.append(Topic::Jobs, records, None).await {
-            Ok(offset) => log::info!(records = count, offset = offset.0; "old batch jobs deleted"),
+        let counts = (records.len(), contents.len());
+        // The records come last: they say which contents there are.
+        let deleted = match gateway.log.append(Topic::Contents, contents, None).await {
+            Ok(_) => gateway.log.append(Topic::Jobs, records, None).await,
+            Err(error) => Err(error),
+        };
+        match deleted {
+            Ok(offset) => log::info!(
+                records = counts.0, contents = counts.1, offset = offset.0;
+                "old batch jobs deleted"
+            ),
             Err(error) => log::warn!(error:% = error; "old batch jobs not deleted"),
         }
     }
 }
 
-/// Returns records that drop the keys of batch jobs whose time is over.
-fn expired_records(gateway: &Gateway, retention: Duration) -> Vec<KeyedValue> {
+/// Returns records that drop the keys of batch jobs whose time is over, and of their contents.
+fn expired_records(gateway: &Gateway, retention: Duration) -> (Vec<KeyedValue>, Vec<KeyedValue>) {
     let now_ms = clock::unix_ms();
     let jobs = gateway.jobs();
-    let expired = jobs.iter().filter(|job| {
-        let age_ms = now_ms.saturating_sub(job.spec.submitted_unix_ms);
-        let over = u128::from(age_ms) > retention.as_millis();
-        over && (job.ended || job.is_complete())
-    });
-    let keys = expired.flat_map(wisteriaford_core::gateway::job_fold::Job::keys);
-    let records = keys.map(|key| KeyedValue {
+    let expired: Vec<_> = jobs
+        .iter()
+        .filter(|job| {
+            let age_ms = now_ms.saturating_sub(job.head.submitted_unix_ms);
+            let over = u128::from(age_ms) > retention.as_millis();
+            over && (job.ended || job.is_complete())
+        })
+        .take(MAX_DELETED_AT_ONCE)
+        .collect();
+    let drop_key = |key: &CompactString| KeyedValue {
         key: key.clone(),
         value: None,
-    });
-    records.collect()
+    };
+    let records = expired.iter().flat_map(|job| job.keys());
+    let contents = expired.iter().flat_map(|job| job.content_keys());
+    (
+        records.map(drop_key).collect(),
+        contents.map(drop_key).collect(),
+    )
 }
--- a/wisteriaford_gateway/src/job_log.rs
+++ b/wisteriaford_gateway/src/job_log.rs
@@ -7,11 +7,17 @@
 use wisteriaford_core::id::Offset;
 use wisteriaford_core::time::Timestamp;
 
+use crate::border::Log;
 use crate::border::LogRecord;
 use crate::border::Topic;
+use crate::contents;
 use crate::follow::Follower;
 use crate::state::Gateway;
 
+/// Part of an instance's share of the reading calls that batch jobs may use.
+const READ_SHARE: f64 = 0.25;
+/// Shortest and longest time between two reads that returned records.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(150));
 /// Longest wait of a read; an answer about a batch job may be this old.
 const JOBS_WAIT: Duration = Duration::from_millis(500);
 
@@ -29,6 +35,14 @@
         JOBS_WAIT
     }
 
+    fn pause(&self) -> Duration {
+        let log = &self.gateway.log;
+        let instances = f64::from(u32::try_from(log.peers().len() + 1).unwrap_or(u32::MAX));
+        let reads_per_s = f64::from(log.bounds().max_reads_per_s) * READ_SHARE / instances;
+        let pause = Duration::try_from_secs_f64(1.0 / reads_per_s);
+        pause.unwrap_or(PAUSES.1).clamp(PAUSES.0, PAUSES.1)
+    }
+
     fn snapshot(&mut self, records: Vec<LogRecord>, _end: Offset) {
         for record in records {
             self.record(record);
@@ -77,6 +91,13 @@
                 for item in items {
                     schedule.listed(job, item);
                 }
+                drop(schedule);
+                let jobs = self.gateway.jobs();
+                let first = items.first();
+                let result = first.and_then(|item| jobs.get(job)?.result_of(item));
+                if let Some(result) = result {
+                    contents::prefetch(&self.gateway, Arc::clone(&result.content));
+                }
             }
             JobChange::Deleted(job) => {
                 log::info!(job:% = job, offset = offset.0; "batch job deleted");
--- a/wisteriaford_gateway/src/lib.rs
+++ b/wisteriaford_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod clock;
 mod connection_pool;
+mod contents;
 mod directory;
 mod duty_task;
 mod event_stream;
--- a/wisteriaford_gateway/src/outbox.rs
+++ b/wisteriaford_gateway/src/outbox.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -16,7 +15,9 @@
 use crate::border::Log;
 use crate::border::LogError;
 use crate::border::Topic;
+use crate::contents;
 use crate::state::Gateway;
+use crate::state::lock;
 use crate::state::stopped;
 
 /// Wait for further results before an append; a few store round trips.
@@ -55,10 +56,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Appends results until the gateway stops.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut stop = gateway.stop.clone();
@@ -74,28 +71,37 @@
     }
 }
 
-/// Appends what waits in one call, and takes back what was not listed.
+/// Appends what waits, the texts first, and takes back what was not listed.
 async fn flush(gateway: &Gateway) {
     let taken = std::mem::take(&mut *lock(&gateway.outbox.pending));
     let notes = std::mem::take(&mut *lock(&gateway.outbox.notes));
-    let (now, later) = split(
-        unlisted(gateway, taken),
-        gateway.log.bounds().max_append_bytes / 2,
-    );
-    lock(&gateway.outbox.pending).extend(later);
-    let mut records = encode(gateway, &now);
-    let results = now.len();
+    let taken = unlisted(gateway, taken);
+    let results = taken.len();
+    match append(gateway, &taken, notes).await {
+        Ok(()) => gateway.metrics.results_listed.add(results as u64, &[]),
+        Err(error) => put_back(gateway, taken, &error).await,
+    }
+}
+
+async fn append(
+    gateway: &Gateway,
+    results: &[Finished],
+    notes: Vec<KeyedValue>,
+) -> Result<(), LogError> {
+    let mut records = Vec::new();
+    for (job, chunk) in chunks(gateway, results) {
+        let unique = gateway.unique_name();
+        let texts = record::text_content(job, &unique, &chunk);
+        let place = contents::append(gateway, texts).await?;
+        records.push(record::results_record(job, &unique, &chunk, &place));
+    }
     records.extend(notes);
     if records.is_empty() {
-        return;
-    }
-    match gateway.log.append(Topic::Jobs, records, None).await {
-        Ok(offset) => {
-            gateway.metrics.results_listed.add(results as u64, &[]);
-            log::debug!(offset = offset.0, results = results; "results appended");
-        }
-        Err(error) => put_back(gateway, now, &error).await,
+        return Ok(());
     }
+    let offset = gateway.log.append(Topic::Jobs, records, None).await?;
+    log::debug!(offset = offset.0, results = results.len(); "results appended");
+    Ok(())
 }
 
 async fn put_back(gateway: &Gateway, results: Vec<Finished>, error: &LogError) {
@@ -121,28 +127,12 @@
     results.into_iter().filter(is_open).collect()
 }
 
-/// Returns the results of at most so many bytes, and the others.
-fn split(results: Vec<Finished>, max_bytes: usize) -> (Vec<Finished>, Vec<Finished>) {
-    let mut total_bytes = 0;
-    let mut now = Vec::with_capacity(results.len());
-    let mut later = Vec::new();
-    for finished in results {
-        total_bytes += size_bytes(&finished.result);
-        if now.is_empty() || total_bytes <= max_bytes {
-            now.push(finished);
-        } else {
-            later.push(finished);
-        }
-    }
-    (now, later)
-}
-
 fn size_bytes(result: &ItemResult) -> usize {
     result.text.len() + RESULT_OVERHEAD_BYTES
 }
 
-/// Encodes results, one batch job or record's size at a time.
-fn encode(gateway: &Gateway, results: &[Finished]) -> Vec<KeyedValue> {
+/// Divides results by batch job, and so that the texts of each part fit into one record.
+fn chunks<'a>(gateway: &Gateway, results: &'a [Finished]) -> Vec<(&'a JobId, Vec<ItemResult>)> {
     let max_bytes = gateway.log.bounds().max_record_bytes / 2;
     let mut by_job: IndexMap<&JobId, Vec<Vec<ItemResult>>> = IndexMap::new();
     for finished in results {
@@ -159,8 +149,7 @@
         }
     }
     let chunks = by_job.into_iter();
-    let chunks = chunks.flat_map(|(job, chunks)| chunks.into_iter().map(move |c| (job, c)));
     chunks
-        .map(|(job, chunk)| record::results_record(job, &gateway.unique_name(), &chunk))
+        .flat_map(|(job, chunks)| chunks.into_iter().map(move |chunk| (job, chunk)))
         .collect()
 }
--- a/wisteriaford_gateway/src/relay.rs
+++ b/wisteriaford_gateway/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::border::LogBounds;
 use crate::border::LogError;
 use crate::border::LogPage;
+use crate::border::LogRecord;
 use crate::border::NewestPage;
 use crate::border::Topic;
 use crate::client::CallError;
@@ -185,6 +186,10 @@
                 .await
                 .map(LogAnswer::Appended),
             LogCall::Read(from, wait) => log.read(topic, from, wait).await.map(LogAnswer::Page),
+            LogCall::Fetch(offset, size_bytes) => log
+                .fetch(topic, offset, size_bytes)
+                .await
+                .map(LogAnswer::Record),
             LogCall::Newest(after) => log.newest(topic, after).await.map(LogAnswer::Newest),
         };
         match &answer {
@@ -292,7 +297,7 @@
         async move {
             match self.call(topic, LogCall::Append(records, at)).await? {
                 LogAnswer::Appended(offset) => Ok(offset),
-                LogAnswer::Page(_) | LogAnswer::Newest(_) => Err(unexpected()),
+                _ => Err(unexpected()),
             }
         }
         .boxed()
@@ -307,7 +312,22 @@
         async move {
             match self.call(topic, LogCall::Read(from, wait)).await? {
                 LogAnswer::Page(page) => Ok(page),
-                LogAnswer::Appended(_) | LogAnswer::Newest(_) => Err(unexpected()),
+                _ => Err(unexpected()),
+            }
+        }
+        .boxed()
+    }
+
+    fn fetch(
+        &self,
+        topic: Topic,
+        offset: Offset,
+        size_bytes: u64,
+    ) -> BoxFuture<'_, Result<LogRecord, LogError>> {
+        async move {
+            match self.call(topic, LogCall::Fetch(offset, size_bytes)).await? {
+                LogAnswer::Record(record) => Ok(record),
+                _ => Err(unexpected()),
             }
         }
         .boxed()
@@ -321,7 +341,7 @@
         async move {
             match self.call(topic, LogCall::Newest(after)).await? {
                 LogAnswer::Newest(page) => Ok(page),
-                LogAnswer::Appended(_) | LogAnswer::Page(_) => Err(unexpected()),
+                _ => Err(unexpected()),
             }
         }
         .boxed()
--- a/wisteriaford_gateway/src/relay_message.rs
+++ b/wisteriaford_gateway/src/relay_message.rs
@@ -25,6 +25,8 @@
     Append(Vec<KeyedValue>, Option<Offset>),
     /// Read from an offset on.
     Read(Offset, Duration),
+    /// Read of the record at an offset, of a size in bytes.
+    Fetch(Offset, u64),
     /// Read of the newest record of each key after one.
     Newest(Option<CompactString>),
 }
@@ -38,7 +40,7 @@
     pub(crate) fn is_repeatable(&self) -> bool {
         match self {
             Self::Append(_, at) => at.is_some(),
-            Self::Read(..) | Self::Newest(_) => true,
+            Self::Read(..) | Self::Fetch(..) | Self::Newest(_) => true,
         }
     }
 
@@ -46,7 +48,7 @@
     pub(crate) fn wait(&self) -> Duration {
         match self {
             Self::Read(_, wait) => *wait,
-            Self::Append(..) | Self::Newest(_) => Duration::ZERO,
+            Self::Append(..) | Self::Fetch(..) | Self::Newest(_) => Duration::ZERO,
         }
     }
 }
@@ -58,6 +60,8 @@
     Appended(Offset),
     /// Records of a read.
     Page(LogPage),
+    /// Record that was asked for.
+    Record(LogRecord),
     /// Newest records.
     Newest(NewestPage),
 }
@@ -83,6 +87,10 @@
             from: from.0,
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         }),
+        LogCall::Fetch(offset, size_bytes) => call::Kind::Fetch(proto::Fetch {
+            offset: offset.0,
+            size_bytes: *size_bytes,
+        }),
         LogCall::Newest(after) => call::Kind::Newest(proto::Newest {
             after: after.as_ref().map(ToString::to_string),
         }),
@@ -108,6 +116,7 @@
         call::Kind::Read(read) => {
             LogCall::Read(Offset(read.from), Duration::from_millis(read.wait_ms))
         }
+        call::Kind::Fetch(fetch) => LogCall::Fetch(Offset(fetch.offset), fetch.size_bytes),
         call::Kind::Newest(newest) => LogCall::Newest(newest.after.map(CompactString::from)),
     };
     Ok((topic, call))
@@ -123,6 +132,11 @@
             end: page.end.0,
             more_after: None,
         }),
+        Ok(LogAnswer::Record(record)) => answer::Kind::Page(proto::Page {
+            records: vec![read_record(record)],
+            end: 0,
+            more_after: None,
+        }),
         Ok(LogAnswer::Newest(page)) => answer::Kind::Page(proto::Page {
             records: page.records.iter().map(read_record).collect(),
             end: page.end.0,
@@ -142,7 +156,7 @@
     Ok(match message.kind.ok_or(RelayError::Empty)? {
         answer::Kind::Appended(appended) => Ok(LogAnswer::Appended(Offset(appended.offset))),
         answer::Kind::Page(page) => {
-            let records: Vec<LogRecord> = page.records.into_iter().map(log_record).collect();
+            let mut records: Vec<LogRecord> = page.records.into_iter().map(log_record).collect();
             let end = Offset(page.end);
             Ok(match call {
                 LogCall::Newest(_) => LogAnswer::Newest(NewestPage {
@@ -150,6 +164,7 @@
                     more_after: page.more_after.map(CompactString::from),
                     end,
                 }),
+                LogCall::Fetch(..) => LogAnswer::Record(records.pop().ok_or(RelayError::Empty)?),
                 LogCall::Read(..) | LogCall::Append(..) => {
                     LogAnswer::Page(LogPage { records, end })
                 }
@@ -221,6 +236,7 @@
         Topic::Jobs => proto::Topic::Jobs,
         Topic::Duty => proto::Topic::Duty,
         Topic::Instances => proto::Topic::Instances,
+        Topic::Contents => proto::Topic::Contents,
     }
 }
 
@@ -232,5 +248,6 @@
         proto::Topic::Jobs => Topic::Jobs,
         proto::Topic::Duty => Topic::Duty,
         proto::Topic::Instances => Topic::Instances,
+        proto::Topic::Contents => Topic::Contents,
     })
 }
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -1,18 +1,18 @@
 //! Running the items of batch jobs, while this instance has the duty.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use tokio::task::AbortHandle;
 use wisteriaford_core::gateway::endpoint::Endpoint;
-use wisteriaford_core::gateway::job::ItemSpec;
-use wisteriaford_core::gateway::job::JobSpec;
+use wisteriaford_core::gateway::job::JobHead;
 use wisteriaford_core::gateway::record;
-use wisteriaford_core::gateway::schedule::Progress;
 use wisteriaford_core::gateway::schedule::RunEnd;
 use wisteriaford_core::gateway::schedule::RunNumber;
 use wisteriaford_core::gateway::schedule::RunOutcome;
@@ -23,9 +23,11 @@
 use crate::client::CallError;
 use crate::client::OpenAnswer;
 use crate::clock;
+use crate::contents;
 use crate::event_stream::EventReader;
 use crate::forward::InFlight;
 use crate::state::Gateway;
+use crate::state::lock;
 use crate::state::stopped;
 
 /// Longest time between two looks at what could start.
@@ -37,6 +39,9 @@
 /// The same while the engine may be loading weights.
 const LOADING_SILENCE: Duration = Duration::from_millis(4_000);
 
+/// Wait before the items of a batch job are read again.
+const OPEN_BACKOFF: Duration = Duration::from_millis(150);
+
 /// Runs in progress, by their number.
 type Runs = IndexMap<RunNumber, AbortHandle>;
 
@@ -44,8 +49,9 @@
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut stop = gateway.stop.clone();
     let mut runs = Runs::new();
+    let opening = Opening::default();
     loop {
-        let tick = if step(&gateway, &mut runs) {
+        let tick = if step(&gateway, &mut runs, &opening) {
             TICK
         } else {
             IDLE_TICK
@@ -59,7 +65,7 @@
 }
 
 /// Opens, closes and starts what is due; returns whether anything runs or waits.
-fn step(gateway: &Arc<Gateway>, runs: &mut Runs) -> bool {
+fn step(gateway: &Arc<Gateway>, runs: &mut Runs, opening: &Opening) -> bool {
     runs.retain(|_, run| !run.is_finished());
     let is_holder = gateway
         .duty()
@@ -69,7 +75,7 @@
         stop_runs(runs, &stopped);
         return false;
     }
-    sync_jobs(gateway, runs);
+    sync_jobs(gateway, runs, opening);
     for finished in give_up(gateway) {
         log::info!(
             job:% = finished.job, item:% = finished.result.item; "item given up, its time is over"
@@ -102,8 +108,8 @@
     }
 }
 
-/// Opens batch jobs that were accepted, and closes those that ended.
-fn sync_jobs(gateway: &Gateway, runs: &mut Runs) {
+/// Closes batch jobs that ended, and has the items of those that were accepted read.
+fn sync_jobs(gateway: &Arc<Gateway>, runs: &mut Runs, opening: &Opening) {
     let jobs = gateway.jobs();
     let mut schedule = gateway.schedule();
     let closed: Vec<JobId> = schedule
@@ -118,16 +124,48 @@
         stop_runs(runs, &schedule.close(&id));
     }
     for job in jobs.iter().filter(|job| !job.ended && !job.is_complete()) {
-        if schedule.is_open(&job.spec.id) {
+        if schedule.is_open(&job.head.id) || !opening.begin(&job.head.id) {
             continue;
         }
-        schedule.open(job, |_: &ItemSpec| None::<Progress>);
-        log::info!(
-            job:% = job.spec.id, items = job.spec.items.len(), listed = job.listed(),
-            min_version = job.spec.min_version.0;
-            "batch job opened for running"
-        );
+        let head = Arc::clone(&job.head);
+        tokio::spawn(open_job(Arc::clone(gateway), head, opening.clone()));
+    }
+}
+
+/// Batch jobs whose items are being read.
+#[derive(Clone, Default)]
+struct Opening(Arc<Mutex<IndexSet<JobId>>>);
+
+impl Opening {
+    fn begin(&self, job: &JobId) -> bool {
+        lock(&self.0).insert(job.clone())
+    }
+
+    fn end(&self, job: &JobId) {
+        lock(&self.0).swap_remove(job);
+    }
+}
+
+async fn open_job(gateway: Arc<Gateway>, head: Arc<JobHead>, opening: Opening) {
+    match contents::items(&gateway, &head).await {
+        Ok(items) => {
+            let jobs = gateway.jobs();
+            if let Some(job) = jobs.get(&head.id).filter(|job| !job.ended) {
+                gateway.schedule().open(job, &items);
+                log::info!(
+                    job:% = head.id, items = items.len(), listed = job.listed(),
+                    min_version = head.min_version.0;
+                    "batch job opened for running"
+                );
+            }
+        }
+        Err(error) => {
+            log::warn!(job:% = head.id, error:% = error; "items of a batch job not read");
+            tokio::time::sleep(OPEN_BACKOFF).await;
+        }
     }
+    opening.end(&head.id);
+    gateway.runner_wake.notify_one();
 }
 
 fn give_up(gateway: &Gateway) -> Vec<wisteriaford_core::gateway::schedule::Finished> {
@@ -138,7 +176,7 @@
 fn starts(gateway: &Gateway) -> Vec<Start> {
     let view = gateway.view.load();
     let plan = gateway.plan();
-    let accepts = |endpoint: &Endpoint, job: &JobSpec, exact: Option<Version>| {
+    let accepts = |endpoint: &Endpoint, job: &JobHead, exact: Option<Version>| {
         let Some(model) = &job.model else {
             return true;
         };
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -35,6 +35,7 @@
 use crate::border::Topic;
 use crate::client::Client;
 use crate::clock;
+use crate::contents::ContentCache;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
 use crate::relay::RelayedLog;
@@ -102,6 +103,7 @@
     pub(crate) view: ArcSwap<View>,
     pub(crate) metrics: Metrics,
     pub(crate) outbox: Outbox,
+    pub(crate) contents: ContentCache,
     pub(crate) jobs_changed: watch::Sender<u64>,
     pub(crate) runner_wake: Notify,
     pub(crate) stop: watch::Receiver<bool>,
@@ -112,11 +114,12 @@
     duty: Mutex<Duty>,
     schedule: Mutex<Schedule>,
     plan: Mutex<WeightPlan>,
-    freshness: [Freshness; 5],
+    freshness: [Freshness; 6],
     counter: AtomicU64,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// Locks a mutex; what a panic left behind is still usable.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -139,6 +142,7 @@
             view: ArcSwap::default(),
             metrics,
             outbox: Outbox::default(),
+            contents: ContentCache::default(),
             jobs_changed: watch::Sender::new(0),
             runner_wake: Notify::new(),
             stop,
