--- a/wisteriaford_core/tests/gateway_job_fold.rs
+++ b/wisteriaford_core/tests/gateway_job_fold.rs
@@ -8,6 +8,7 @@
 use proptest::prelude::prop;
 use proptest::proptest;
 use wisteriaford_core::gateway::job::JobError;
+use wisteriaford_core::gateway::job_fold::Job;
 use wisteriaford_core::gateway::job_fold::JobChange;
 use wisteriaford_core::gateway::job_fold::JobFold;
 use wisteriaford_core::gateway::record;
@@ -52,7 +53,7 @@
     ]);
 
     assert_eq!(positions(&fold, "j"), ["b", "a"]);
-    assert!(fold.get(&JobId::from("j")).is_some_and(|j| j.is_complete()));
+    assert!(fold.get(&JobId::from("j")).is_some_and(Job::is_complete));
 }
 
 #[test]
