--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -7,7 +7,8 @@
 //!
 //! A step takes the newest version and the one before it, so not every engine needs every version.
 //! Engines are loaded at once while those that the next step can use are too few for its items,
-//! and otherwise when they have nothing to do for the model.
+//! and otherwise when they have nothing to do for the model. Engines beyond what the items need
+//! follow once a version has been the newest for a while.
 
 use std::time::Duration;
 
@@ -32,6 +33,10 @@
 const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
 /// Versions that a step may lag behind the newest.
 const ALLOWED_LAG: u64 = 1;
+/// Time that a version must be the newest before engines without any use for it are loaded.
+///
+/// Longer than trainers take from one version to the next.
+const LAZY_LOAD_AFTER: Duration = Duration::from_secs(10);
 /// Slots that are kept ready for a step, in percent of its items.
 const SLOTS_PER_ITEM_PERCENT: u64 = 125;
 
@@ -149,18 +154,30 @@
     }
 }
 
+/// Newest version of a model.
+#[derive(Clone, Copy, Debug, Default)]
+struct Target {
+    version: Version,
+    since: Timestamp,
+}
+
 /// Plans the orders to all engines.
 #[derive(Clone, Debug, Default)]
 pub struct WeightPlan {
-    targets: IndexMap<ModelId, Version>,
+    targets: IndexMap<ModelId, Target>,
     engines: IndexMap<EndpointId, Engine>,
 }
 
 impl WeightPlan {
     /// Takes the newest version of a model that was named; an older one changes nothing.
-    pub fn set_target(&mut self, model: &ModelId, version: Version) {
+    pub fn set_target(&mut self, now: Timestamp, model: &ModelId, version: Version) {
         let target = self.targets.entry(model.clone()).or_default();
-        *target = version.max(*target);
+        if version > target.version {
+            *target = Target {
+                version,
+                since: now,
+            };
+        }
     }
 
     /// Returns the version that an engine has, as far as is known.
@@ -320,9 +337,11 @@
             let all: u64 = hosts().map(|view| u64::from(view.slots)).sum();
             let wanted = all.min(demand.items.max(1) * SLOTS_PER_ITEM_PERCENT / 100);
             // The step that follows takes the newest version and the one before it.
-            let needed = Version(target.0.saturating_sub(ALLOWED_LAG));
+            let needed = Version(target.version.0.saturating_sub(ALLOWED_LAG));
             let usable = self.slots_with(hosts(), model, needed);
-            if self.slots_with(hosts(), model, *target) >= wanted {
+            let has_lasted = now.since(target.since) >= LAZY_LOAD_AFTER;
+            let enough = if has_lasted { all } else { wanted };
+            if self.slots_with(hosts(), model, target.version) >= enough {
                 continue;
             }
             let urgent = usable < wanted;
@@ -339,7 +358,7 @@
                 let is_useful = if urgent {
                     !engine.has(model, needed)
                 } else {
-                    !engine.has(model, *target) && demand.waiting == 0 && running == 0
+                    !engine.has(model, target.version) && demand.waiting == 0 && running == 0
                 };
                 if !is_useful || !engine.is_free(now) {
                     continue;
@@ -374,7 +393,7 @@
         endpoint: EndpointId,
         model: ModelId,
     ) -> Option<WeightAction> {
-        let version = *self.targets.get(&model)?;
+        let version = self.targets.get(&model)?.version;
         let engine = self.engines.get_mut(&endpoint)?;
         engine.order = Some(OpenOrder {
             model: model.clone(),
--- a/wisteriaford_gateway/src/orders.rs
+++ b/wisteriaford_gateway/src/orders.rs
@@ -43,7 +43,7 @@
     let demand = gateway.schedule().demand();
     let mut plan = gateway.plan();
     for (model, version) in view.weights.iter() {
-        plan.set_target(model, *version);
+        plan.set_target(clock::now(), model, *version);
     }
     plan.next_actions(clock::now(), &engine_views(gateway), &demand)
 }
--- a/wisteriaford_gateway/src/server.rs
+++ b/wisteriaford_gateway/src/server.rs
@@ -77,6 +77,22 @@
 async fn serve_caller(gateway: Arc<Gateway>, stream: TcpStream) {
     // Without it small answers wait for acknowledgements; the connection works either way.
     drop(stream.set_nodelay(true));
+    let idle_timeout = gateway.view.load().routes.limits.idle_timeout;
+    let mut stop = gateway.stop.clone();
+    let mut first_byte = [0];
+    let has_bytes = tokio::select! {
+        peeked = tokio::time::timeout(idle_timeout, stream.peek(&mut first_byte)) => {
+            matches!(peeked, Ok(Ok(1)))
+        }
+        () = stopped(&mut stop) => false,
+    };
+    if has_bytes {
+        // On the heap, and only now: a connection without a request needs none of its buffers.
+        Box::pin(serve_requests(gateway, stream)).await;
+    }
+}
+
+async fn serve_requests(gateway: Arc<Gateway>, stream: TcpStream) {
     let limits = gateway.view.load().routes.limits;
     let mut stop = gateway.stop.clone();
     let service = service_fn(|request| {
--- a/wisteriaford_standins/src/connection.rs
+++ b/wisteriaford_standins/src/connection.rs
@@ -112,12 +112,39 @@
     ///
     /// Fails if the connection is broken or cut by a fault.
     pub(crate) fn begin_chunks(&mut self, content_type: &str) -> io::Result<()> {
+        self.begin_chunks_with(content_type, &[])
+    }
+
+    /// Begins an answer with more header fields, whose chunks follow.
+    pub(crate) fn begin_chunks_with(
+        &mut self,
+        content_type: &str,
+        headers: &[(&str, &str)],
+    ) -> io::Result<()> {
+        let fields = header_lines(headers);
         let head = format!(
-            "HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\ntransfer-encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\ntransfer-encoding: chunked\r\n{fields}\r\n"
         );
         self.send(head.as_bytes())
     }
 
+    /// Sends a whole answer of any bytes.
+    pub(crate) fn send_bytes(
+        &mut self,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
+        let reason = reason(status);
+        let fields = header_lines(headers);
+        let length_bytes = body.len();
+        let head =
+            format!("HTTP/1.1 {status} {reason}\r\ncontent-length: {length_bytes}\r\n{fields}\r\n");
+        let mut answer = head.into_bytes();
+        answer.extend_from_slice(body);
+        self.send(&answer)
+    }
+
     /// Sends one chunk, which mustn't be empty.
     pub(crate) fn send_chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
         let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
@@ -144,6 +171,13 @@
     }
 }
 
+fn header_lines(headers: &[(&str, &str)]) -> String {
+    let lines = headers.iter();
+    lines
+        .map(|(name, value)| [name, ": ", value, "\r\n"].concat())
+        .collect()
+}
+
 fn whole_answer(status: u16, body: &Value) -> Vec<u8> {
     let reason = reason(status);
     let body = body.to_string();
@@ -161,7 +195,9 @@
         404 => "Not Found",
         409 => "Conflict",
         410 => "Gone",
+        412 => "Precondition Failed",
         413 => "Content Too Large",
+        421 => "Misdirected Request",
         429 => "Too Many Requests",
         503 => "Service Unavailable",
         _ => "Bad Request",
--- /dev/null
+++ b/wisteriaford_standins/src/platform_endpoint.rs
@@ -0,0 +1,241 @@
+//! Stand-in of an endpoint on the users' platform: model engine and plain service in one.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use clap::Args;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::connection::Connection;
+use crate::error::RequestError;
+use crate::error::Result;
+use crate::faults::Faults;
+use crate::request::Request;
+use crate::server::Reply;
+use crate::server::Service;
+
+/// Signature on every answer of an endpoint that worked on a request.
+const SIGNATURE: &str = "standin";
+
+/// Settings of the endpoint.
+#[derive(Args, Clone, Debug)]
+pub struct PlatformEndpointSettings {
+    /// Name of the endpoint
+    #[arg(long, default_value = "endpoint-1")]
+    pub id: String,
+    /// Requests that it processes at once
+    #[arg(long, default_value_t = 12)]
+    pub slots: usize,
+    /// Time that an event takes
+    #[arg(long, default_value_t = 10)]
+    pub event_ms: u64,
+    /// Events of a stream
+    #[arg(long, default_value_t = 12)]
+    pub events: u64,
+    /// Time that a change of the weights takes
+    #[arg(long, default_value_t = 200)]
+    pub load_ms: u64,
+}
+
+/// Run of a request, as the endpoint counts it.
+#[derive(Clone, Debug, Default)]
+struct Run {
+    starts: u64,
+    running: usize,
+}
+
+#[derive(Debug)]
+struct State {
+    version: u64,
+    loading: Option<(u64, Instant)>,
+    orders: u64,
+    highest_fence: u64,
+    running: usize,
+    runs: IndexMap<String, Run>,
+}
+
+impl State {
+    /// Takes the version whose load is over.
+    fn settle(&mut self) {
+        if let Some((version, until)) = self.loading
+            && Instant::now() >= until
+        {
+            self.version = version;
+            self.loading = None;
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Order {
+    version: u64,
+    fencing_token: u64,
+    expected: Option<u64>,
+}
+
+/// Model engine and plain service in one.
+#[derive(Debug)]
+pub(crate) struct PlatformEndpoint {
+    settings: PlatformEndpointSettings,
+    faults: Arc<Faults>,
+    state: Mutex<State>,
+}
+
+impl PlatformEndpoint {
+    pub(crate) fn new(settings: PlatformEndpointSettings, faults: Arc<Faults>) -> Self {
+        Self {
+            settings,
+            faults,
+            state: Mutex::new(State {
+                version: 1,
+                loading: None,
+                orders: 0,
+                highest_fence: 0,
+                running: 0,
+                runs: IndexMap::new(),
+            }),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.settle();
+        state
+    }
+
+    fn report(&self) -> Reply {
+        let state = self.state();
+        Reply::ok(json!({
+            "stage": "both",
+            "models": [{"name": "m", "version": state.version, "adapters": []}],
+            "busy": state.loading.is_some(),
+            "sequence": state.orders,
+            "waiting": 0,
+            "running": state.running,
+        }))
+    }
+
+    fn order(&self, request: &Request) -> Result<Reply> {
+        let order: Order = request.json()?;
+        let mut state = self.state();
+        if order.fencing_token < state.highest_fence {
+            return Ok(Reply::Json(412, json!({})));
+        }
+        state.highest_fence = order.fencing_token;
+        if state.loading.is_some() || order.expected.is_some_and(|e| e != state.orders) {
+            return Ok(Reply::Json(409, json!({})));
+        }
+        if state.version == order.version {
+            return Ok(Reply::ok(json!({})));
+        }
+        state.orders += 1;
+        let until = Instant::now() + Duration::from_millis(self.settings.load_ms);
+        state.loading = Some((order.version, until));
+        Ok(Reply::Json(202, json!({})))
+    }
+
+    /// Returns how often each request started here, and how many of its runs are in progress.
+    fn runs(&self) -> Reply {
+        let state = self.state();
+        let runs = state.runs.iter().map(|(id, run)| {
+            let run = json!({"starts": run.starts, "running": run.running});
+            (id.clone(), run)
+        });
+        Reply::ok(runs.collect())
+    }
+
+    fn work(&self, request: &Request, connection: &mut Connection) -> Result<Reply> {
+        let id = request.headers.get("x-request-id").cloned();
+        let id = id.unwrap_or_default();
+        if !self.begin(&id) {
+            connection.send_bytes(503, &[("X-Not-Run", "1")], b"")?;
+            return Ok(Reply::Sent);
+        }
+        let sent = if request.headers.contains_key("x-model") {
+            self.stream(request, &id, connection)
+        } else {
+            self.answer(&id, connection)
+        };
+        let mut state = self.state();
+        state.running -= 1;
+        if let Some(run) = state.runs.get_mut(&id) {
+            run.running -= 1;
+        }
+        drop(state);
+        sent?;
+        Ok(Reply::Sent)
+    }
+
+    fn begin(&self, id: &str) -> bool {
+        let mut state = self.state();
+        let is_loading = state.loading.is_some();
+        if is_loading || state.running >= self.settings.slots || self.faults.settings().leaving {
+            return false;
+        }
+        state.running += 1;
+        let run = state.runs.entry(id.to_owned()).or_default();
+        run.starts += 1;
+        run.running += 1;
+        true
+    }
+
+    fn answer(&self, id: &str, connection: &mut Connection) -> Result<()> {
+        if !connection.sleep(Duration::from_millis(self.settings.event_ms)) {
+            return Ok(());
+        }
+        let body = format!("answer of {}", self.settings.id);
+        let headers = [("X-Request-Id", id), ("X-Response-Stamp", SIGNATURE)];
+        Ok(connection.send_bytes(200, &headers, body.as_bytes())?)
+    }
+
+    fn stream(&self, request: &Request, id: &str, connection: &mut Connection) -> Result<()> {
+        let after = request.headers.get("last-event-id");
+        let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let version = self.state().version.to_string();
+        let headers = [
+            ("X-Request-Id", id),
+            ("X-Response-Stamp", SIGNATURE),
+            ("X-Weight-Versions", &version),
+        ];
+        connection.begin_chunks_with("text/event-stream", &headers)?;
+        for number in after + 1..=self.settings.events {
+            let alive = connection.sleep(Duration::from_millis(self.settings.event_ms));
+            if !alive || connection.is_over() {
+                return Ok(());
+            }
+            let event = format!("id: {number}\ndata: {id}-{number}\n\n");
+            connection.send_chunk(event.as_bytes())?;
+        }
+        Ok(connection.end_chunks()?)
+    }
+}
+
+impl Service for PlatformEndpoint {
+    fn handle(&self, request: &Request, connection: &mut Connection) -> Result<Reply> {
+        let expected = request.headers.get("x-expect-instance");
+        if expected.is_some_and(|expected| *expected != self.settings.id) {
+            return Ok(Reply::Json(421, json!({})));
+        }
+        match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/api/report") => Ok(self.report()),
+            ("POST", "/api/order") => self.order(request),
+            ("GET", "/standin/runs") => Ok(self.runs()),
+            ("POST" | "GET", _) => self.work(request, connection),
+            _ => Err(RequestError::NotFound),
+        }
+    }
+
+    fn restart(&self) {
+        let mut state = self.state();
+        state.orders = 0;
+        state.highest_fence = 0;
+        state.loading = None;
+    }
+}
--- a/wisteriaford_standins/src/standin.rs
+++ b/wisteriaford_standins/src/standin.rs
@@ -23,6 +23,10 @@
 use crate::log_service::LogSettings;
 use crate::plain_service::PlainService;
 use crate::plain_service::PlainServiceSettings;
+use crate::platform_endpoint::PlatformEndpoint;
+use crate::platform_endpoint::PlatformEndpointSettings;
+use crate::platform_store::PlatformStore;
+use crate::platform_store::PlatformStoreSettings;
 use crate::scorer::Scorer;
 use crate::scorer::ScorerSettings;
 use crate::server::CrashAction;
@@ -54,6 +58,10 @@
     PlainService(PlainServiceSettings),
     /// Scorer of samples
     Scorer(ScorerSettings),
+    /// Store of the users' platform
+    PlatformStore(PlatformStoreSettings),
+    /// Endpoint on the users' platform
+    PlatformEndpoint(PlatformEndpointSettings),
 }
 
 impl Standin {
@@ -93,6 +101,10 @@
                 Arc::new(PlainService::new(settings, Arc::clone(faults)))
             }
             Self::Scorer(settings) => Arc::new(Scorer::new(settings)),
+            Self::PlatformStore(settings) => Arc::new(PlatformStore::new(settings)),
+            Self::PlatformEndpoint(settings) => {
+                Arc::new(PlatformEndpoint::new(settings, Arc::clone(faults)))
+            }
         }
     }
 }
@@ -163,6 +175,8 @@
     InstanceListSettings,
     LogSettings,
     PlainServiceSettings,
+    PlatformEndpointSettings,
+    PlatformStoreSettings,
     ScorerSettings,
     WeightStoreSettings,
 );
