--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -50,6 +50,8 @@
 const OVERRUN_PERCENT: usize = 40;
 /// Tokens of one event until some were counted.
 const DEFAULT_EVENT_TOKENS: u64 = 58;
+/// Time that clocks of instances may be apart; items are given up that much later.
+const CLOCK_MARGIN: Duration = Duration::from_secs(5);
 /// Unfinished items of ended batch jobs whose progress is kept for a later batch job.
 const MAX_CARRIED: usize = 1_024;
 
@@ -557,7 +559,9 @@
         RunEnd::Waits { failures }
     }
 
-    /// Gives up the items whose time is over or whose route is gone.
+    /// Gives up the items whose time is over.
+    ///
+    /// Items without a route wait: it may only not have been read yet, or be back later.
     pub fn give_up(&mut self, unix_ms: u64, routes: &RouteTable) -> Vec<Finished> {
         let mut finished = Vec::new();
         for active in self.jobs.values_mut() {
@@ -567,7 +571,7 @@
                     continue;
                 }
                 let route = routes.find(&head.host, &item.spec.path);
-                if route.is_some_and(|route| time_left(head, route, unix_ms).is_some()) {
+                if route.is_none_or(|route| !is_over(head, route, unix_ms)) {
                     continue;
                 }
                 item.phase = ItemPhase::Done;
@@ -656,6 +660,13 @@
     retention.checked_sub(age).filter(|left| !left.is_zero())
 }
 
+/// Returns whether an item's time is over by every clock of the fleet.
+fn is_over(job: &JobHead, route: &Route, unix_ms: u64) -> bool {
+    let age = Duration::from_millis(unix_ms.saturating_sub(job.submitted_unix_ms));
+    let retention = route.retention.unwrap_or(Duration::MAX);
+    age > retention.saturating_add(CLOCK_MARGIN)
+}
+
 /// Returns the version that must go on with an item, where all events must have the same one.
 fn exact_version(route: &Route, item: &ItemRun) -> Option<Version> {
     let single = route.single_version && item.progress.last_event.is_some();
--- a/wisteriaford_gateway/src/caller_jobs.rs
+++ b/wisteriaford_gateway/src/caller_jobs.rs
@@ -45,6 +45,8 @@
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time between two looks for batch jobs to delete.
 const DELETE_INTERVAL: Duration = Duration::from_secs(10);
+/// Age at which a batch job is deleted that was neither ended nor completed; its route is gone.
+const MAX_JOB_AGE: Duration = Duration::from_secs(3_600);
 /// Most batch jobs that are deleted in one append.
 const MAX_DELETED_AT_ONCE: usize = 50;
 /// Bytes that a result's names take in an answer beside its text.
@@ -379,7 +381,8 @@
         .filter(|job| {
             let age_ms = now_ms.saturating_sub(job.head.submitted_unix_ms);
             let over = u128::from(age_ms) > retention.as_millis();
-            over && (job.ended || job.is_complete())
+            let abandoned = u128::from(age_ms) > MAX_JOB_AGE.as_millis();
+            abandoned || (over && (job.ended || job.is_complete()))
         })
         .take(MAX_DELETED_AT_ONCE)
         .collect();
