--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -41,9 +41,10 @@
 use crate::relay::RelayedLog;
 use crate::settings::GatewaySettings;
 
-/// Time without an answer of the log after which this instance asks for no new callers.
+/// Time without an answer of the log after which an instance that is cut off from its peers too
+/// asks for no new callers.
 ///
-/// Other instances may reach the log; if none does, the balancer uses all of them again.
+/// In an outage of the log all instances are equal, and calls don't need it.
 const MAX_LOG_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// Implementations of the borders.
@@ -243,7 +244,7 @@
         }
         let answered = topics.iter().map(|t| self.freshness(*t).answered()).max();
         let silence = clock::now().since(answered.unwrap_or_default());
-        if silence > MAX_LOG_SILENCE {
+        if silence > MAX_LOG_SILENCE && self.log.is_isolated() {
             return Err(NotReady::LogSilent);
         }
         Ok(())
