Save the output of running items, so that another holder goes on with it

Cause: whoever took the duty over generated every item anew, 4 to 7 s for long ones, and the trainer fell behind by it. Ruled out: reading it by every instance (nobody else needs it).

--- a/wisteriaford_core/src/gateway/record.rs
+++ b/wisteriaford_core/src/gateway/record.rs
@@ -23,7 +23,9 @@
 use crate::gateway::job::JobHead;
 use crate::gateway::job::JobSpec;
 use crate::gateway::job::ListedResult;
+use crate::gateway::schedule::ProgressPart;
 use crate::id::GroupId;
+use crate::id::InstanceId;
 use crate::id::ItemId;
 use crate::id::JobId;
 use crate::id::ModelId;
@@ -32,6 +34,8 @@
 
 /// Bytes of a record that are left for its key and the encoding around its content.
 const RECORD_OVERHEAD_BYTES: usize = 1_024;
+/// Key of the records of the progress topic, which is not kept by key.
+const PROGRESS_KEY: &str = "progress";
 /// Bytes that the encoding adds to each item.
 const ITEM_OVERHEAD_BYTES: usize = 8;
 
@@ -268,6 +272,45 @@
     })
 }
 
+/// Returns the record of some output, for the progress topic.
+#[must_use]
+pub fn progress_record(runner: &InstanceId, parts: &[ProgressPart]) -> KeyedValue {
+    let items = parts.iter().map(|part| proto::ItemProgress {
+        job: String::from(&part.job),
+        item: String::from(&part.item),
+        first_index: u64::try_from(part.first_index).unwrap_or(u64::MAX),
+        events: part.events.iter().map(ToString::to_string).collect(),
+        last_event: part.last_event,
+        versions: part.versions.iter().map(|version| version.0).collect(),
+    });
+    let batch = proto::ProgressBatch {
+        items: items.collect(),
+        runner: String::from(runner),
+    };
+    KeyedValue {
+        key: PROGRESS_KEY.into(),
+        value: Some(batch.encode_to_vec()),
+    }
+}
+
+/// Decodes a record of the progress topic: the runner that saved it, and its parts.
+///
+/// # Errors
+///
+/// Fails on bytes of another format.
+pub fn decode_progress(value: &[u8]) -> Result<(InstanceId, Vec<ProgressPart>), RecordError> {
+    let batch = proto::ProgressBatch::decode(value)?;
+    let parts = batch.items.into_iter().map(|item| ProgressPart {
+        job: item.job.into(),
+        item: item.item.into(),
+        first_index: usize::try_from(item.first_index).unwrap_or(usize::MAX),
+        events: item.events.into_iter().map(CompactString::from).collect(),
+        last_event: item.last_event,
+        versions: item.versions.into_iter().map(Version).collect(),
+    });
+    Ok((batch.runner.into(), parts.collect()))
+}
+
 fn encode(kind: Kind) -> Vec<u8> {
     proto::JobRecord { kind: Some(kind) }.encode_to_vec()
 }
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -27,6 +27,7 @@
 use crate::gateway::weights::ModelDemand;
 use crate::id::EndpointId;
 use crate::id::GroupId;
+use crate::id::InstanceId;
 use crate::id::ItemId;
 use crate::id::JobId;
 use crate::id::ModelId;
@@ -105,6 +106,23 @@
     pub reason: ChoiceReason,
 }
 
+/// Output of an item since the part that was saved before.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ProgressPart {
+    /// Batch job of the item.
+    pub job: JobId,
+    /// The item.
+    pub item: ItemId,
+    /// Number of events before these.
+    pub first_index: usize,
+    /// Data of whole events in order.
+    pub events: Vec<CompactString>,
+    /// Id of the last event.
+    pub last_event: u64,
+    /// Versions of all events of the item so far.
+    pub versions: Vec<Version>,
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunOutcome {
@@ -146,6 +164,8 @@
     spec: Arc<ItemSpec>,
     phase: ItemPhase,
     progress: Progress,
+    /// Events that were saved.
+    saved_events: usize,
     failures: u32,
 }
 
@@ -256,6 +276,8 @@
 pub struct Schedule {
     jobs: IndexMap<JobId, ActiveJob>,
     carried: IndexMap<ItemId, (Arc<ItemSpec>, Progress)>,
+    /// Saved output of items whose batch job isn't open yet.
+    restored: IndexMap<(JobId, ItemId), IndexMap<InstanceId, Progress>>,
     /// Items of the newest batch job of each model.
     items_by_model: IndexMap<ModelId, u64>,
     last_run: u64,
@@ -275,7 +297,16 @@
             }
             let kept = self.carried.shift_remove(&spec.id);
             let kept = kept.filter(|(before, _)| is_same_work(before, spec));
-            let progress = kept.map(|(_, progress)| progress);
+            let kept = kept.map(|(_, progress)| progress);
+            let restored = self
+                .restored
+                .swap_remove(&(head.id.clone(), spec.id.clone()));
+            let restored = restored.and_then(|by_runner| {
+                by_runner
+                    .into_values()
+                    .max_by_key(|progress| progress.events.len())
+            });
+            let progress = restored.or(kept);
             let progress = progress.filter(|p| p.versions.iter().all(|v| *v >= head.min_version));
             let run = ItemRun {
                 spec: Arc::clone(spec),
@@ -283,6 +314,7 @@
                     not_before: Timestamp::default(),
                 },
                 progress: progress.unwrap_or_default(),
+                saved_events: 0,
                 failures: job.failures.get(&spec.id).copied().unwrap_or(0),
             };
             items.insert(spec.id.clone(), run);
@@ -339,6 +371,66 @@
         running
     }
 
+    /// Returns the output of items that was not saved yet, and counts it as saved.
+    ///
+    /// Items with less than `min_events` events are left out; they are soon generated again.
+    pub fn unsaved(&mut self, min_events: usize) -> Vec<ProgressPart> {
+        let mut parts = Vec::new();
+        for active in self.jobs.values_mut() {
+            for item in active.items.values_mut() {
+                let events = &item.progress.events;
+                let is_open = item.phase != ItemPhase::Done;
+                let is_new = events.len() > item.saved_events;
+                let Some(last_event) = item.progress.last_event else {
+                    continue;
+                };
+                if !is_open || !is_new || events.len() < min_events {
+                    continue;
+                }
+                parts.push(ProgressPart {
+                    job: active.head.id.clone(),
+                    item: item.spec.id.clone(),
+                    first_index: item.saved_events,
+                    events: events[item.saved_events..].to_vec(),
+                    last_event,
+                    versions: item.progress.versions.clone(),
+                });
+                item.saved_events = events.len();
+            }
+        }
+        parts
+    }
+
+    /// Counts nothing as saved any more, since a part may be lost.
+    pub fn forget_saved(&mut self) {
+        let items = self
+            .jobs
+            .values_mut()
+            .flat_map(|job| job.items.values_mut());
+        for item in items {
+            item.saved_events = 0;
+        }
+    }
+
+    /// Takes a part that a runner saved; one that doesn't follow its parts before changes nothing.
+    pub fn restore(&mut self, runner: &InstanceId, part: ProgressPart) {
+        let key = (part.job, part.item);
+        let by_runner = self.restored.entry(key).or_default();
+        let progress = by_runner.entry(runner.clone()).or_default();
+        if part.first_index > progress.events.len() {
+            return;
+        }
+        progress.events.truncate(part.first_index);
+        progress.events.extend(part.events);
+        progress.last_event = Some(part.last_event);
+        progress.versions = part.versions;
+    }
+
+    /// Forgets the saved output of all items.
+    pub fn forget_restored(&mut self) {
+        self.restored.clear();
+    }
+
     /// Returns whether a batch job is open here.
     #[must_use]
     pub fn is_open(&self, job: &JobId) -> bool {
--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -14,6 +14,7 @@
 use wisteriaford_core::gateway::job_fold::JobFold;
 use wisteriaford_core::gateway::route::RouteTable;
 use wisteriaford_core::gateway::schedule::Moment;
+use wisteriaford_core::gateway::schedule::ProgressPart;
 use wisteriaford_core::gateway::schedule::RunEnd;
 use wisteriaford_core::gateway::schedule::RunOutcome;
 use wisteriaford_core::gateway::schedule::Schedule;
@@ -315,6 +316,85 @@
     assert_eq!(again.after_event, None);
 }
 
+/// Pattern: the holder of the duty dies while long items run.
+#[test]
+fn another_holder_goes_on_with_what_was_saved() {
+    let mut world = World::new(&["e"], 4);
+    let spec = job("j", vec![item("a", "g", 0)]);
+    world.open(&spec);
+    let first = world.starts(at(0)).remove(0);
+    let mut saved = Vec::new();
+    for number in 1..=5 {
+        let data = format!("event {number}").into();
+        world.schedule.event(&first, number, data, Some(Version(1)));
+        saved.extend(world.schedule.unsaved(2));
+    }
+
+    let mut other = World::new(&["f"], 4);
+    for part in saved {
+        other.schedule.restore(&"one".into(), part);
+    }
+    other.open(&spec);
+    let again = other.starts(at(0)).remove(0);
+    other
+        .schedule
+        .event(&again, 6, "event 6".into(), Some(Version(2)));
+    let end = other.end(at(10), &again, RunOutcome::Completed);
+
+    assert_eq!(again.after_event, Some(5));
+    let RunEnd::Finished(finished) = end else {
+        panic!("not finished: {end:?}");
+    };
+    assert_eq!(finished.result.text.lines().count(), 6);
+    assert_eq!(finished.result.versions, [Version(1), Version(2)]);
+}
+
+/// Pattern: a holder that was cut off saves on beside its successor.
+#[test]
+fn parts_of_different_runners_are_not_joined() {
+    let mut world = World::new(&["e"], 4);
+    let spec = job("j", vec![item("a", "g", 0)]);
+    let part = |first_index, version, count| ProgressPart {
+        job: spec.head.id.clone(),
+        item: spec.items[0].id.clone(),
+        first_index,
+        events: vec!["x".into(); count],
+        last_event: (first_index + count) as u64,
+        versions: vec![Version(version)],
+    };
+
+    world.schedule.restore(&"one".into(), part(0, 1, 3));
+    world.schedule.restore(&"two".into(), part(0, 2, 2));
+    world.schedule.restore(&"one".into(), part(3, 1, 1));
+    world.schedule.restore(&"two".into(), part(9, 2, 5));
+    world.open(&spec);
+    let start = world.starts(at(0)).remove(0);
+    let end = world.end(at(10), &start, RunOutcome::Completed);
+
+    assert_eq!(start.after_event, Some(4));
+    let RunEnd::Finished(finished) = end else {
+        panic!("not finished: {end:?}");
+    };
+    assert_eq!(finished.result.versions, [Version(1)]);
+}
+
+#[test]
+fn all_output_is_saved_again_after_a_part_was_lost() {
+    let mut world = World::new(&["e"], 4);
+    world.open(&job("j", vec![item("a", "g", 0)]));
+    let start = world.starts(at(0)).remove(0);
+    world.schedule.event(&start, 1, "one".into(), None);
+    world.schedule.event(&start, 2, "two".into(), None);
+    let lost = world.schedule.unsaved(1);
+
+    let nothing_new = world.schedule.unsaved(1);
+    world.schedule.forget_saved();
+    let again = world.schedule.unsaved(1);
+
+    assert!(nothing_new.is_empty());
+    assert_eq!(again, lost);
+}
+
 /// Pattern: engines turn slow for seconds while long items run there.
 #[test]
 fn long_items_leave_a_slow_engine_while_others_have_room() {
--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -32,6 +32,7 @@
 use crate::outbox;
 use crate::peers;
 use crate::peers::PeerFollower;
+use crate::progress;
 use crate::runner;
 use crate::server;
 use crate::settings::GatewaySettings;
@@ -157,6 +158,7 @@
     tokio::spawn(async move { relayed.log.probe().await });
     tokio::spawn(duty_task::run(Arc::clone(gateway)));
     tokio::spawn(runner::run(Arc::clone(gateway)));
+    tokio::spawn(progress::save(Arc::clone(gateway)));
     tokio::spawn(orders::run(Arc::clone(gateway)));
     tokio::spawn(outbox::run(Arc::clone(gateway)));
     tokio::spawn(caller_jobs::delete_expired(Arc::clone(gateway)));
--- a/wisteriaford_gateway/src/border.rs
+++ b/wisteriaford_gateway/src/border.rs
@@ -45,6 +45,9 @@
     /// Items and texts of batch jobs.
     #[display("contents")]
     Contents,
+    /// Output of items that run; not kept by key.
+    #[display("progress")]
+    Progress,
     /// Lease of the runner's duty.
     #[display("duty")]
     Duty,
@@ -168,6 +171,9 @@
         after: Option<CompactString>,
     ) -> BoxFuture<'_, Result<NewestPage, LogError>>;
 
+    /// Deletes the records before an offset.
+    fn trim(&self, topic: Topic, before: Offset) -> BoxFuture<'_, Result<(), LogError>>;
+
     /// Returns the bounds on calls.
     fn bounds(&self) -> LogBounds;
 }
--- a/wisteriaford_gateway/src/lib.rs
+++ b/wisteriaford_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod orders;
 mod outbox;
 mod peers;
+mod progress;
 mod refusal;
 mod relay;
 mod relay_message;
--- a/wisteriaford_gateway/src/relay.rs
+++ b/wisteriaford_gateway/src/relay.rs
@@ -347,6 +347,11 @@
         .boxed()
     }
 
+    /// Trimming can wait, so peers aren't asked for it.
+    fn trim(&self, topic: Topic, before: Offset) -> BoxFuture<'_, Result<(), LogError>> {
+        self.direct.trim(topic, before)
+    }
+
     fn bounds(&self) -> LogBounds {
         self.direct.bounds()
     }
--- a/wisteriaford_gateway/src/relay_message.rs
+++ b/wisteriaford_gateway/src/relay_message.rs
@@ -237,6 +237,7 @@
         Topic::Duty => proto::Topic::Duty,
         Topic::Instances => proto::Topic::Instances,
         Topic::Contents => proto::Topic::Contents,
+        Topic::Progress => proto::Topic::Progress,
     }
 }
 
@@ -249,5 +250,6 @@
         proto::Topic::Duty => Topic::Duty,
         proto::Topic::Instances => Topic::Instances,
         proto::Topic::Contents => Topic::Contents,
+        proto::Topic::Progress => Topic::Progress,
     })
 }
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -27,6 +29,7 @@
 use crate::contents;
 use crate::event_stream::EventReader;
 use crate::forward::InFlight;
+use crate::progress;
 use crate::state::Gateway;
 use crate::state::lock;
 use crate::state::stopped;
@@ -74,8 +77,12 @@
     if !is_holder {
         let stopped = gateway.schedule().close_all();
         stop_runs(runs, &stopped);
+        opening.restored.store(NOT_RESTORED, Ordering::Release);
         return false;
     }
+    if !opening.is_restored(gateway) {
+        return true;
+    }
     sync_jobs(gateway, runs, opening);
     for finished in give_up(gateway) {
         log::info!(
@@ -133,17 +140,47 @@
     }
 }
 
-/// Batch jobs whose items are being read.
+/// Saved output was not read since this instance took the duty.
+const NOT_RESTORED: u8 = 0;
+/// Saved output is being read.
+const RESTORING: u8 = 1;
+/// Saved output was read.
+const RESTORED: u8 = 2;
+
+/// What is read from the log before items run.
 #[derive(Clone, Default)]
-struct Opening(Arc<Mutex<IndexSet<JobId>>>);
+struct Opening {
+    jobs: Arc<Mutex<IndexSet<JobId>>>,
+    restored: Arc<AtomicU8>,
+}
 
 impl Opening {
     fn begin(&self, job: &JobId) -> bool {
-        lock(&self.0).insert(job.clone())
+        lock(&self.jobs).insert(job.clone())
     }
 
     fn end(&self, job: &JobId) {
-        lock(&self.0).swap_remove(job);
+        lock(&self.jobs).swap_remove(job);
+    }
+
+    /// Returns whether saved output was read; has it read if not.
+    fn is_restored(&self, gateway: &Arc<Gateway>) -> bool {
+        let begun = self.restored.compare_exchange(
+            NOT_RESTORED,
+            RESTORING,
+            Ordering::AcqRel,
+            Ordering::Acquire,
+        );
+        if begun.is_ok() {
+            let gateway = Arc::clone(gateway);
+            let restored = Arc::clone(&self.restored);
+            tokio::spawn(async move {
+                progress::restore(&gateway).await;
+                restored.store(RESTORED, Ordering::Release);
+                gateway.runner_wake.notify_one();
+            });
+        }
+        self.restored.load(Ordering::Acquire) == RESTORED
     }
 }
 
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -115,7 +115,7 @@
     duty: Mutex<Duty>,
     schedule: Mutex<Schedule>,
     plan: Mutex<WeightPlan>,
-    freshness: [Freshness; 6],
+    freshness: [Freshness; 7],
     counter: AtomicU64,
 }
 
--- a/wisteriaford_standins/src/platform_store.rs
+++ b/wisteriaford_standins/src/platform_store.rs
@@ -180,6 +180,8 @@
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/api/log-append") => self.append(request),
             ("GET", "/api/log-read") => self.read(request, connection),
+            // Records stay; a read from an old offset is still answered.
+            ("POST", "/api/log-trim") => Ok(Reply::ok(json!({}))),
             ("GET", "/api/log-newest") => self.newest(request),
             _ => Err(RequestError::NotFound),
         }
