--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -135,6 +135,7 @@
         };
         let jobs = JobFollower {
             gateway: Arc::clone(&following),
+            is_live: false,
         };
         let instances = PeerFollower {
             gateway: Arc::clone(&following),
--- a/wisteriaford_gateway/src/job_log.rs
+++ b/wisteriaford_gateway/src/job_log.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use wisteriaford_core::gateway::job_fold::JobChange;
+use wisteriaford_core::id::ItemId;
+use wisteriaford_core::id::JobId;
 use wisteriaford_core::id::Offset;
 use wisteriaford_core::time::Timestamp;
 
@@ -24,6 +26,8 @@
 /// Folds the records of batch jobs.
 pub(crate) struct JobFollower {
     pub(crate) gateway: Arc<Gateway>,
+    /// Records come as they are written, and not from the past.
+    pub(crate) is_live: bool,
 }
 
 impl Follower for JobFollower {
@@ -44,9 +48,13 @@
     }
 
     fn snapshot(&mut self, records: Vec<LogRecord>, _end: Offset) {
+        // Texts of old results are read when somebody asks: all of them at once are more calls
+        // than the log takes in a second.
+        self.is_live = false;
         for record in records {
             self.record(record);
         }
+        self.is_live = true;
     }
 
     fn record(&mut self, record: LogRecord) {
@@ -74,6 +82,15 @@
 }
 
 impl JobFollower {
+    fn prefetch(&self, job: &JobId, items: &[ItemId]) {
+        let jobs = self.gateway.jobs();
+        let first = items.first();
+        let result = first.and_then(|item| jobs.get(job)?.result_of(item));
+        if let Some(result) = result {
+            contents::prefetch(&self.gateway, Arc::clone(&result.content));
+        }
+    }
+
     fn note(&self, change: &JobChange, offset: Offset) {
         match change {
             JobChange::Accepted(job) => {
@@ -92,11 +109,8 @@
                     schedule.listed(job, item);
                 }
                 drop(schedule);
-                let jobs = self.gateway.jobs();
-                let first = items.first();
-                let result = first.and_then(|item| jobs.get(job)?.result_of(item));
-                if let Some(result) = result {
-                    contents::prefetch(&self.gateway, Arc::clone(&result.content));
+                if self.is_live {
+                    self.prefetch(job, items);
                 }
             }
             JobChange::Deleted(job) => {
--- a/wisteriaford_gateway/src/outbox.rs
+++ b/wisteriaford_gateway/src/outbox.rs
@@ -20,8 +20,8 @@
 use crate::state::lock;
 use crate::state::stopped;
 
-/// Wait for further results before an append; a few store round trips.
-const GATHER: Duration = Duration::from_millis(10);
+/// Wait for further results before an append; every append is read by every instance.
+const GATHER: Duration = Duration::from_millis(30);
 /// Wait before an append whose answer was lost is looked up in the fold.
 const SETTLE: Duration = Duration::from_millis(300);
 /// Wait after an append that had no effect.
--- a/wisteriaford_gateway/src/progress.rs
+++ b/wisteriaford_gateway/src/progress.rs
@@ -18,10 +18,10 @@
 
 /// Time between two saves; a death costs this much of each item's output.
 const SAVE_INTERVAL: Duration = Duration::from_millis(600);
-/// Events from which an item's output is saved; a fifth of the mean item.
-const MIN_EVENTS: usize = 4;
-/// Age at which saved output is of no use: twice the longest item.
-const MAX_AGE: Duration = Duration::from_secs(16);
+/// Events from which an item's output is saved; less is generated again in half a second.
+const MIN_EVENTS: usize = 15;
+/// Age at which saved output is of no use: the longest items run for 7 s.
+const MAX_AGE: Duration = Duration::from_secs(10);
 /// Time between two trims of old output.
 const TRIM_INTERVAL: Duration = Duration::from_secs(4);
 /// Longest time to read what was saved; items start anew rather than wait longer.
