--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -39,6 +39,11 @@
 const LAZY_LOAD_AFTER: Duration = Duration::from_secs(10);
 /// Slots that are kept ready for a step, in percent of its items.
 const SLOTS_PER_ITEM_PERCENT: u64 = 125;
+/// Slots that all models together keep ready, in percent of the slots that there are.
+///
+/// Models that share engines share the loads too; beyond this, versions come faster than the
+/// engines can load them for every model.
+const SHARED_SLOTS_PERCENT: u64 = 130;
 
 /// Engine as the planner is told of it.
 #[derive(Clone, Debug)]
@@ -330,12 +335,13 @@
         demand: &IndexMap<ModelId, ModelDemand>,
     ) -> Option<(EndpointId, ModelId)> {
         let nothing = ModelDemand::default();
+        let share_percent = self.share_percent(views, demand);
         let mut best: Option<(u64, u32, Version, &EndpointId, &ModelId)> = None;
         for (model, target) in &self.targets {
             let demand = demand.get(model).unwrap_or(&nothing);
             let hosts = || views.iter().filter(|view| view.models.contains(model));
             let all: u64 = hosts().map(|view| u64::from(view.slots)).sum();
-            let wanted = all.min(demand.items.max(1) * SLOTS_PER_ITEM_PERCENT / 100);
+            let wanted = all.min(wanted_slots(demand) * share_percent / 100);
             // The step that follows takes the newest version and the one before it.
             let needed = Version(target.version.0.saturating_sub(ALLOWED_LAG));
             let usable = self.slots_with(hosts(), model, needed);
@@ -373,6 +379,15 @@
         best.map(|(_, _, _, endpoint, model)| (endpoint.clone(), model.clone()))
     }
 
+    /// Returns the part of the slots that each model wants which all of them can have.
+    fn share_percent(&self, views: &[EngineView], demand: &IndexMap<ModelId, ModelDemand>) -> u64 {
+        let known = self.targets.keys().filter_map(|model| demand.get(model));
+        let wanted: u64 = known.map(wanted_slots).sum();
+        let all: u64 = views.iter().map(|view| u64::from(view.slots)).sum();
+        let share = all * SHARED_SLOTS_PERCENT / wanted.max(1);
+        share.min(100)
+    }
+
     /// Returns the slots of engines that have a version or are loading it.
     fn slots_with<'a>(
         &self,
@@ -410,3 +425,8 @@
         })
     }
 }
+
+/// Returns the slots that a model wants.
+fn wanted_slots(demand: &ModelDemand) -> u64 {
+    demand.items.max(1) * SLOTS_PER_ITEM_PERCENT / 100
+}
--- a/wisteriaford_core/tests/gateway_weights.rs
+++ b/wisteriaford_core/tests/gateway_weights.rs
@@ -205,6 +205,33 @@
     assert_eq!(models, [ModelId::from("n")]);
 }
 
+/// Pattern: three trainers share the engines, and versions come faster than all engines can load
+/// them for every model.
+#[test]
+fn models_that_share_engines_want_fewer_of_them() {
+    let views = views(40, &["m", "n", "o"]);
+    let old = [("m", 1), ("n", 1), ("o", 1)];
+    let mut plan = plan(at(0), &views, &old);
+    let need = demand(&[("m", 320), ("n", 320), ("o", 320)]);
+    for (model, _) in old {
+        plan.set_target(at(1_000), &ModelId::from(model), Version(3));
+    }
+
+    let mut loads = 0;
+    for step in 1..90 {
+        let now = at(1_000 + step * 100);
+        for action in plan.next_actions(now, &views, &need) {
+            if let WeightAction::Order { endpoint, .. } = action {
+                loads += 1;
+                plan.answered(now, &endpoint, OrderOutcome::AlreadyHolds);
+            }
+        }
+    }
+
+    // 130 % of 400 slots are those of 52 engines, about a third of them for each model.
+    assert!((51..=54).contains(&loads), "{loads} loads");
+}
+
 #[test]
 fn an_order_whose_answer_was_lost_is_looked_up_and_given_again() {
     let views = views(1, &["m"]);
