--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -5,6 +5,10 @@
 //! engine that ran its group, bounded by load. A stream that breaks goes on at another engine
 //! after its last whole event.
 
+mod active;
+mod progress;
+mod run;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +17,6 @@
 
 use crate::gateway::endpoint::Endpoint;
 use crate::gateway::endpoint::EndpointTable;
-use crate::gateway::fleet::ChoiceReason;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::fleet::ITEM_COSTS;
 use crate::gateway::fleet::Query;
@@ -22,11 +25,25 @@
 use crate::gateway::job::ItemState;
 use crate::gateway::job::JobHead;
 use crate::gateway::job_fold::Job;
-use crate::gateway::route::Route;
 use crate::gateway::route::RouteTable;
+use crate::gateway::schedule::active::ActiveJob;
+use crate::gateway::schedule::active::ItemPhase;
+use crate::gateway::schedule::active::ItemRun;
+use crate::gateway::schedule::active::events_left;
+use crate::gateway::schedule::active::finish;
+use crate::gateway::schedule::active::is_over;
+use crate::gateway::schedule::active::is_same_work;
+use crate::gateway::schedule::active::start_order;
+pub use crate::gateway::schedule::progress::Progress;
+pub use crate::gateway::schedule::progress::ProgressPart;
+pub use crate::gateway::schedule::run::Finished;
+pub use crate::gateway::schedule::run::Moment;
+pub use crate::gateway::schedule::run::RunEnd;
+pub use crate::gateway::schedule::run::RunNumber;
+pub use crate::gateway::schedule::run::RunOutcome;
+pub use crate::gateway::schedule::run::Start;
 use crate::gateway::weights::ModelDemand;
 use crate::id::EndpointId;
-use crate::id::GroupId;
 use crate::id::InstanceId;
 use crate::id::ItemId;
 use crate::id::JobId;
@@ -47,230 +64,9 @@
 const MIN_GAIN: Duration = Duration::from_millis(600);
 /// Time that an item stays at an engine before it may be moved.
 const MIN_STAY: Duration = Duration::from_millis(400);
-/// Events that an item is expected to need beyond those that were expected, in percent of them.
-const OVERRUN_PERCENT: usize = 40;
-/// Tokens of one event until some were counted.
-const DEFAULT_EVENT_TOKENS: u64 = 58;
-/// Time that clocks of instances may be apart; items are given up that much later.
-const CLOCK_MARGIN: Duration = Duration::from_secs(5);
 /// Unfinished items of ended batch jobs whose progress is kept for a later batch job.
 const MAX_CARRIED: usize = 1_024;
 
-/// Number of a run of an item, unique within this instance.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct RunNumber(pub u64);
-
-/// Output of an item so far.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Progress {
-    /// Data of the whole events in order.
-    pub events: Vec<CompactString>,
-    /// Id of the last whole event.
-    pub last_event: Option<u64>,
-    /// Versions of the weights that generated an event.
-    pub versions: Vec<Version>,
-}
-
-impl Progress {
-    fn text(&self) -> String {
-        self.events.join("\n")
-    }
-
-    fn note_version(&mut self, version: Version) {
-        if !self.versions.contains(&version) {
-            self.versions.push(version);
-        }
-    }
-}
-
-/// Run of an item that is to be started.
-#[derive(Clone, Debug)]
-pub struct Start {
-    /// Batch job of the item.
-    pub job: Arc<JobHead>,
-    /// The item.
-    pub item: Arc<ItemSpec>,
-    /// Number of the run.
-    pub run: RunNumber,
-    /// Engine that runs it.
-    pub endpoint: Endpoint,
-    /// Event after which it goes on.
-    pub after_event: Option<u64>,
-    /// Oldest version that may generate it.
-    pub min_version: Version,
-    /// Version that must generate it, if it must be the one that generated the events before.
-    pub exact_version: Option<Version>,
-    /// Time left until the item is given up.
-    pub time_left: Duration,
-    /// Why the engine was chosen.
-    pub reason: ChoiceReason,
-}
-
-/// Output of an item since the part that was saved before.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ProgressPart {
-    /// Batch job of the item.
-    pub job: JobId,
-    /// The item.
-    pub item: ItemId,
-    /// Number of events before these.
-    pub first_index: usize,
-    /// Data of whole events in order.
-    pub events: Vec<CompactString>,
-    /// Id of the last event.
-    pub last_event: u64,
-    /// Versions of all events of the item so far.
-    pub versions: Vec<Version>,
-}
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunOutcome {
-    /// The stream ended whole.
-    Completed,
-    /// The engine refused it as full; it did not run.
-    Full,
-    /// The engine refused it for another reason; it did not run.
-    NotRun,
-    /// The engine has another version of the weights than is allowed.
-    WrongVersion,
-    /// The engine failed it.
-    Failed,
-    /// The item can never be done.
-    Impossible,
-    /// The stream broke.
-    Broken,
-    /// The engine can't be reached.
-    Unreachable,
-    /// The stream was silent for too long.
-    Silent,
-}
-
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum ItemPhase {
-    Waiting {
-        not_before: Timestamp,
-    },
-    Running {
-        run: RunNumber,
-        endpoint: EndpointId,
-        since: Timestamp,
-    },
-    Done,
-}
-
-#[derive(Clone, Debug)]
-struct ItemRun {
-    spec: Arc<ItemSpec>,
-    phase: ItemPhase,
-    progress: Progress,
-    /// Events that were saved.
-    saved_events: usize,
-    failures: u32,
-}
-
-#[derive(Clone, Debug)]
-struct ActiveJob {
-    head: Arc<JobHead>,
-    items: IndexMap<ItemId, ItemRun>,
-    /// Order in which items start.
-    order: Vec<ItemId>,
-    group_endpoints: IndexMap<GroupId, EndpointId>,
-}
-
-/// What items are started by.
-#[derive(Clone, Copy, Debug)]
-pub struct Moment<'a> {
-    /// Time.
-    pub now: Timestamp,
-    /// Time of day, in milliseconds since the Unix epoch.
-    pub unix_ms: u64,
-    /// Routes in force.
-    pub routes: &'a RouteTable,
-    /// Endpoints that are known.
-    pub endpoints: &'a EndpointTable,
-}
-
-/// Item that could start now.
-struct Due<'a> {
-    pool: &'a PoolId,
-    affinity: Option<EndpointId>,
-    max_in_flight: Option<u32>,
-    exact_version: Option<Version>,
-    time_left: Duration,
-}
-
-impl ActiveJob {
-    /// Returns what an item needs, if it waits and its time isn't over.
-    fn due<'a>(&self, id: &ItemId, moment: &Moment<'a>) -> Option<Due<'a>> {
-        let item = self.items.get(id)?;
-        let ItemPhase::Waiting { not_before } = item.phase else {
-            return None;
-        };
-        if not_before > moment.now {
-            return None;
-        }
-        let routes = moment.routes;
-        let route = routes.find(&self.head.host, &item.spec.path)?;
-        let pool = route.pool_for(item.spec.id.as_str())?;
-        let settings = routes.pools.get(pool);
-        let engine = settings.and_then(|settings| settings.engine.as_ref());
-        let group = item.spec.group.as_ref();
-        let affinity = group.and_then(|group| self.group_endpoints.get(group));
-        Some(Due {
-            pool,
-            affinity: affinity.cloned(),
-            max_in_flight: engine.map(|engine| engine.slots),
-            exact_version: exact_version(route, item),
-            time_left: time_left(&self.head, route, moment.unix_ms)?,
-        })
-    }
-
-    /// Marks an item as running; returns it with the event after which it goes on.
-    fn start(
-        &mut self,
-        id: &ItemId,
-        run: RunNumber,
-        endpoint: &EndpointId,
-        now: Timestamp,
-    ) -> Option<(Arc<ItemSpec>, Option<u64>)> {
-        let item = self.items.get_mut(id)?;
-        item.phase = ItemPhase::Running {
-            run,
-            endpoint: endpoint.clone(),
-            since: now,
-        };
-        if let Some(group) = &item.spec.group {
-            let kept = self.group_endpoints.entry(group.clone());
-            kept.or_insert_with(|| endpoint.clone());
-        }
-        Some((Arc::clone(&item.spec), item.progress.last_event))
-    }
-}
-
-/// Item that ended, to be listed.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Finished {
-    /// Batch job of the item.
-    pub job: JobId,
-    /// Its result.
-    pub result: ItemResult,
-}
-
-/// What a run's end led to.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum RunEnd {
-    /// The item has a result.
-    Finished(Finished),
-    /// The item waits for another run.
-    Waits {
-        /// Failures at engines so far.
-        failures: u32,
-    },
-    /// The run was given up before.
-    Stale,
-}
-
 /// Items of all open batch jobs.
 #[derive(Clone, Debug, Default)]
 pub struct Schedule {
@@ -689,31 +485,6 @@
     }
 }
 
-fn finish(start: &Start, item: &mut ItemRun, state: ItemState) -> RunEnd {
-    item.phase = ItemPhase::Done;
-    let progress = std::mem::take(&mut item.progress);
-    let is_complete = state == ItemState::Completed;
-    let text = if is_complete {
-        progress.text()
-    } else {
-        String::new()
-    };
-    let versions = if is_complete {
-        progress.versions
-    } else {
-        Vec::new()
-    };
-    RunEnd::Finished(Finished {
-        job: start.job.id.clone(),
-        result: ItemResult {
-            item: start.item.id.clone(),
-            state,
-            text,
-            versions,
-        },
-    })
-}
-
 /// Returns the free slots of engines that aren't slow, by pool.
 fn free_sound_slots(
     now: Timestamp,
@@ -730,56 +501,3 @@
     }
     room
 }
-
-/// Returns the events that an item is expected to need still.
-fn events_left(item: &ItemRun) -> usize {
-    let done = item.progress.events.len();
-    let expected = item.spec.expected_output_tokens / DEFAULT_EVENT_TOKENS;
-    let expected = usize::try_from(expected).unwrap_or(usize::MAX);
-    let overrun = done.max(expected) * OVERRUN_PERCENT / 100;
-    expected.saturating_sub(done) + overrun
-}
-
-/// Returns whether an item of another batch job asks for the same output.
-fn is_same_work(before: &ItemSpec, now: &ItemSpec) -> bool {
-    before.path == now.path && before.body == now.body && before.headers == now.headers
-}
-
-/// Returns the time until an item is given up, or `None` if it is over.
-fn time_left(job: &JobHead, route: &Route, unix_ms: u64) -> Option<Duration> {
-    let retention = route.retention.unwrap_or(Duration::MAX);
-    let age = Duration::from_millis(unix_ms.saturating_sub(job.submitted_unix_ms));
-    retention.checked_sub(age).filter(|left| !left.is_zero())
-}
-
-/// Returns whether an item's time is over by every clock of the fleet.
-fn is_over(job: &JobHead, route: &Route, unix_ms: u64) -> bool {
-    let age = Duration::from_millis(unix_ms.saturating_sub(job.submitted_unix_ms));
-    let retention = route.retention.unwrap_or(Duration::MAX);
-    age > retention.saturating_add(CLOCK_MARGIN)
-}
-
-/// Returns the version that must go on with an item, where all events must have the same one.
-fn exact_version(route: &Route, item: &ItemRun) -> Option<Version> {
-    let single = route.single_version && item.progress.last_event.is_some();
-    item.progress.versions.first().copied().filter(|_| single)
-}
-
-/// Orders items by their group's longest expected output; carried groups keep their place in front.
-fn start_order(specs: &[Arc<ItemSpec>], items: &IndexMap<ItemId, ItemRun>) -> Vec<ItemId> {
-    let mut longest: IndexMap<Option<&GroupId>, u64> = IndexMap::new();
-    for spec in specs {
-        let expected = longest.entry(spec.group.as_ref()).or_default();
-        *expected = (*expected).max(spec.expected_output_tokens);
-    }
-    let mut order: Vec<&Arc<ItemSpec>> = specs.iter().collect();
-    order.retain(|spec| items.contains_key(&spec.id));
-    order.sort_by_key(|spec| {
-        let is_carried = items
-            .get(&spec.id)
-            .is_some_and(|i| i.progress.last_event.is_some());
-        let expected = longest.get(&spec.group.as_ref()).copied().unwrap_or(0);
-        (!is_carried, std::cmp::Reverse(expected))
-    });
-    order.into_iter().map(|spec| spec.id.clone()).collect()
-}
