--- a/wisteriaford_core/src/gateway/duty.rs
+++ b/wisteriaford_core/src/gateway/duty.rs
@@ -30,9 +30,9 @@
 pub const SAFETY_MARGIN: Duration = Duration::from_millis(200);
 /// Time that the log must be within reach again before a lease counts as lapsed.
 const REACHABLE_AGAIN: Duration = Duration::from_millis(700);
-/// Largest wait before a claim, so that not all instances claim at once.
+/// Largest wait before a claim, so that not all instances claim at once; a fifth of the lease.
 const MAX_CLAIM_DELAY_MS: u64 = 300;
-/// Wait after an append that was refused or whose answer was lost.
+/// Wait after an append that was refused or whose answer was lost; well under a renewal.
 const APPEND_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Record to be appended at the end that was read to.
--- a/wisteriaford_core/src/gateway/fleet.rs
+++ b/wisteriaford_core/src/gateway/fleet.rs
@@ -14,13 +14,13 @@
 use crate::id::PoolId;
 use crate::time::Timestamp;
 
-/// First time that a failing endpoint is left out.
+/// First time that a failing endpoint is left out; shorter than any crash lasts.
 const FIRST_EJECTION: Duration = Duration::from_millis(400);
-/// Longest time that a failing endpoint is left out.
+/// Longest time that a failing endpoint is left out; a crashed one is back after some seconds.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
-/// Failures in a row that leave an endpoint out.
+/// Failures in a row that leave an endpoint out; a single lost answer doesn't.
 const FAILURES_TO_EJECT: u32 = 2;
-/// Time that an endpoint which refused as full is left out.
+/// Time that an endpoint which refused as full is left out: a few requests' time.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 /// Time over which the moving average of an endpoint's pace reaches.
 const PACE_SPAN: Duration = Duration::from_millis(400);
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -52,9 +52,9 @@
 use crate::id::Version;
 use crate::time::Timestamp;
 
-/// Wait before an item is sent again after a run that broke.
+/// Wait before an item is sent again after a run that broke; the engine sees its connection close.
 const RETRY_BACKOFF: Duration = Duration::from_millis(50);
-/// Wait before an item is sent again after an engine refused it as full.
+/// Wait before an item is sent again after an engine refused it as full: one event's time.
 const FULL_BACKOFF: Duration = Duration::from_millis(30);
 /// Pace of an engine, relative to the usual one, beyond which its items may be moved.
 const SLOW_PACE: f64 = 1.2;
@@ -62,7 +62,7 @@
 const SOUND_PACE: f64 = 1.1;
 /// Least time that a move must save; it costs a connection and reading the output again.
 const MIN_GAIN: Duration = Duration::from_millis(600);
-/// Time that an item stays at an engine before it may be moved.
+/// Time that an item stays at an engine before it may be moved; a pace is known by then.
 const MIN_STAY: Duration = Duration::from_millis(400);
 /// Unfinished items of ended batch jobs whose progress is kept for a later batch job.
 const MAX_CARRIED: usize = 1_024;
--- a/wisteriaford_gateway/src/caller_jobs.rs
+++ b/wisteriaford_gateway/src/caller_jobs.rs
@@ -33,13 +33,14 @@
 use crate::refusal::whole;
 use crate::state::Gateway;
 
-/// Wait before an append that had no effect is tried again.
+/// Wait before an append that had no effect is tried again; some tens of the store's round trips.
 const APPEND_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest time that a submission is tried if the caller names no deadline.
 const DEFAULT_SUBMIT_TIME: Duration = Duration::from_secs(2);
 /// Longest time that a submission is tried, so that its caller can still go elsewhere.
 const MAX_SUBMIT_TIME: Duration = Duration::from_millis(2_500);
-/// Time to come back after the log took nothing.
+/// Time to come back after the log took nothing; outages last for seconds, another instance may
+/// reach it at once.
 const LOG_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Time to come back after a state wasn't known well enough.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(300);
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -38,15 +38,16 @@
 use crate::state::Gateway;
 use crate::stream;
 
-/// Time limit of a call whose caller and route name none.
+/// Time limit of a call whose caller and route name none; every known route names one.
 const DEFAULT_TIME: Duration = Duration::from_secs(30);
-/// Multiple of the usual time after which an idempotent call is also sent elsewhere.
+/// Multiple of the usual time after which an idempotent call is also sent elsewhere; the longest
+/// sound calls take seven times the mean.
 const HEDGE_FACTOR: u32 = 4;
 /// Shortest time after which an idempotent call is also sent elsewhere.
 const MIN_HEDGE: Duration = Duration::from_millis(60);
 /// The same before the usual time of the pool is known.
 const DEFAULT_HEDGE: Duration = Duration::from_millis(250);
-/// Time to come back when endpoints were full or none is known.
+/// Time to come back when endpoints were full or none is known: a few calls' time.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Rest of a caller's time that is kept for the answer's way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -34,16 +34,15 @@
 use crate::state::lock;
 use crate::state::stopped;
 
-/// Longest time between two looks at what could start.
+/// Longest time between two looks at what could start; an engine makes an event in about 40 ms.
 const TICK: Duration = Duration::from_millis(25);
-/// The same while nothing runs or waits.
+/// The same while nothing runs or waits; whatever changes that wakes the runner.
 const IDLE_TICK: Duration = Duration::from_millis(500);
-/// Silence of an engine after which an item goes on elsewhere.
+/// Silence of an engine after which an item goes on elsewhere: ten events of a slow engine.
 const SILENCE: Duration = Duration::from_millis(1_500);
-/// The same while the engine may be loading weights.
+/// The same while the engine may be loading weights: a load of 0.9 s that waits for two others.
 const LOADING_SILENCE: Duration = Duration::from_secs(4);
-
-/// Wait before the items of a batch job are read again.
+/// Wait before the items of a batch job are read again; some tens of the store's round trips.
 const OPEN_BACKOFF: Duration = Duration::from_millis(150);
 
 /// Runs in progress, by their number.
