--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -12,6 +12,7 @@
 use wisteriaford_core::gateway::job::ItemState;
 use wisteriaford_core::gateway::job::JobSpec;
 use wisteriaford_core::gateway::job_fold::JobFold;
+use wisteriaford_core::gateway::route::RouteKind;
 use wisteriaford_core::gateway::route::RouteTable;
 use wisteriaford_core::gateway::schedule::Moment;
 use wisteriaford_core::gateway::schedule::ProgressPart;
@@ -34,6 +35,8 @@
 use crate::fixtures::item;
 use crate::fixtures::job;
 use crate::fixtures::listed;
+use crate::fixtures::route;
+use crate::fixtures::table;
 
 /// Schedule with what it decides by.
 struct World {
@@ -395,6 +398,25 @@
     assert_eq!(again, lost);
 }
 
+#[test]
+fn one_version_goes_on_where_each_result_must_have_a_single_one() {
+    let mut world = World::new(&["e"], 4);
+    let mut single = route("/jobs/", RouteKind::Batch, "engines");
+    single.single_version = true;
+    world.routes = table(vec![single], 4);
+    world.open(&job("j", vec![item("a", "g", 0)]));
+    let first = world.starts(at(0)).remove(0);
+    world
+        .schedule
+        .event(&first, 1, "one".into(), Some(Version(3)));
+    world.end(at(100), &first, RunOutcome::Broken);
+
+    let again = world.starts(at(1_000)).remove(0);
+
+    assert_eq!(first.exact_version, None);
+    assert_eq!(again.exact_version, Some(Version(3)));
+}
+
 /// Pattern: engines turn slow for seconds while long items run there.
 #[test]
 fn long_items_leave_a_slow_engine_while_others_have_room() {
