Refuse as not run what is asked after the daemon's core has ended

Traced by reading the way of a question through the shutdown; ruled out: requests that the core knew, which it finishes before it ends. The closing line's lost_at_shutdown still counts only the requests that the shutdown itself began with.

--- a/wisteriafordd/src/app.rs
+++ b/wisteriafordd/src/app.rs
@@ -117,8 +117,15 @@
     let instance = Instance::new(identity, options(arguments, clock));
     let shutdown_timeout = Duration::from_millis(arguments.shutdown_timeout_ms);
     log::info!("listening at {}", arguments.listen);
-    Runtime::new(instance, clock, shared, workers, shutdown_timeout).run(&events);
-    runtime::refuse_late(&events);
+    Runtime::new(
+        instance,
+        clock,
+        Arc::clone(&shared),
+        workers,
+        shutdown_timeout,
+    )
+    .run(&events);
+    runtime::refuse_late(&shared, &events);
     // Whoever comes now is refused by its handler.
     drop(events);
     thread::sleep(FLUSH_GRACE);
--- a/wisteriafordd/src/runtime.rs
+++ b/wisteriafordd/src/runtime.rs
@@ -69,6 +69,8 @@
     pub border_refusals: BorderRefusals,
     /// Whether a signal asked for a graceful shutdown.
     pub(crate) shutdown_asked: Arc<AtomicBool>,
+    /// Whether the core has ended, so that nothing that is asked from now on can run.
+    pub(crate) core_ended: AtomicBool,
 }
 
 impl Shared {
@@ -85,6 +87,7 @@
             damaged_peer_messages: AtomicU64::new(0),
             border_refusals: BorderRefusals::default(),
             shutdown_asked,
+            core_ended: AtomicBool::new(false),
         }
     }
 }
@@ -239,7 +242,11 @@
 /// Refuses the callers that still come, until they have stayed away for a while.
 ///
 /// Nothing that comes now can run, so that each is told so instead of being cut off.
-pub(crate) fn refuse_late(inputs: &Receiver<Input>) {
+///
+/// A caller that asks after this, and before the process ends, is refused by its own thread: the
+/// core ended before it asked.
+pub(crate) fn refuse_late(shared: &Shared, inputs: &Receiver<Input>) {
+    shared.core_ended.store(true, Ordering::SeqCst);
     let end = Instant::now() + LONGEST_REFUSAL;
     let mut quiet_at = Instant::now() + QUIET;
     while let Ok(input) = inputs.recv_deadline(quiet_at.min(end)) {
--- a/wisteriafordd/src/server.rs
+++ b/wisteriafordd/src/server.rs
@@ -7,6 +7,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crossbeam::channel::Sender;
@@ -147,10 +148,16 @@
         let (sender, receiver) = crossbeam::channel::bounded(1);
         let asked = answer::Asked::from(&request);
         let input = Input::Caller(request, sender);
+        let core_ended = self.shared.core_ended.load(Ordering::SeqCst);
         self.inputs.send(input).map_err(|_| not_taken_in())?;
-        let reply: Reply = receiver
-            .recv_timeout(REPLY_TIMEOUT)
-            .map_err(|_| Failure::ShutDown)?;
+        let reply: Reply = receiver.recv_timeout(REPLY_TIMEOUT).map_err(|_| {
+            // A question that is still in the queue when it is closed has no answer.
+            if core_ended {
+                not_taken_in()
+            } else {
+                Failure::ShutDown
+            }
+        })?;
         answer::of(reply, &asked, &self.settings.identity)
     }
 
