Mark the quickstart's keyed calls as first attempts

Cause: a keyed call that isn't marked as the first attempt is refused by a leaving daemon as outcome_unknown, truly, since an earlier attempt may run elsewhere; the client then must not go on to the next daemon. A daemon that began to leave between the readiness question and the call did just that (small_quickstart_keeps_every_promise: one call of badge-scan, every time).

--- a/wisteriaford_bench/src/quickstart/interactive.rs
+++ b/wisteriaford_bench/src/quickstart/interactive.rs
@@ -173,6 +173,8 @@
         content_type: "text/plain".to_owned(),
         body: text.clone().into_bytes(),
         idempotency_key: key.map(str::to_owned),
+        // Without this, an instance that leaves can't say that the call did not run.
+        is_first_attempt: key.is_some(),
         request_id: Some(id.to_owned()),
         ..RouteCall::default()
     };
