List an engine back where the fuzz's faults left every engine leaving

Cause: seed 703 shrinks to four entries that list all four engines as leaving, and the fuzz never took them back. The oracle forbids new work at engines that are leaving, and asks for further steps once all faults have ended: both can't hold. Ruled out: the lost pull answer, the crash, the cut and the log's outage, which stay in the shrunk case but change nothing. The product was right.

Where every engine is leaving at the end, one is listed as live again; with one that isn't leaving the check is what it was.

--- a/wisteriaford_fakes/tests/promises.rs
+++ b/wisteriaford_fakes/tests/promises.rs
@@ -330,8 +330,8 @@
     counts::run::<Fuzz>(CASES, 10..50, &KINDS);
 }
 
-/// Regression case: engines are all listed as leaving during a rollout while the log goes down, and
-/// steps never go on after all faults have ended.
+/// Regression case: all engines are listed as leaving when the faults end. The oracle let none of
+/// them get new work and yet asked for further steps.
 #[test]
 fn promises_hold_with_seed_703() {
     counts::run_seed::<Fuzz>(703, CASES, 10..50);
--- a/wisteriaford_fakes/tests/support/world.rs
+++ b/wisteriaford_fakes/tests/support/world.rs
@@ -253,6 +253,24 @@
         }
     }
 
+    /// Lists one engine as live again where every engine is leaving: none of them may get new
+    /// work, so no step could go on.
+    fn list_one_back(&mut self) {
+        let is_leaving = |engine: &usize| self.leaving.keys().any(|(left, _)| left == engine);
+        if !(0..ENGINES).all(|engine| is_leaving(&engine)) {
+            return;
+        }
+        let by_list_alone = |engine: &usize| {
+            let configured = self.leaving.contains_key(&(*engine, Source::Configuration));
+            self.leaving.contains_key(&(*engine, Source::List)) && !configured
+        };
+        // An engine that says so itself is replaced when the faults end.
+        let listed = (0..ENGINES).find(by_list_alone);
+        if let Some(engine) = listed {
+            self.list_back(engine);
+        }
+    }
+
     /// Notes that the test published a revision itself.
     pub(crate) fn note_published(&mut self) {
         self.revision += 1;
@@ -579,6 +597,7 @@
 
     pub(crate) fn end_faults(&mut self) {
         self.heal();
+        self.list_one_back();
         self.log_down(false);
         self.fleet.is_scorer_down = false;
         self.fleet.log.lose_answers = 0;
