Read on after an early refusal, so that a reset doesn't overtake it

Cause: a body over the limit was answered 413 and the connection closed with the rest unread. The kernel resets such a connection, and a caller that is still sending sees the reset in place of the answer. Ruled out: the time limits of the test and the order of the answers.

--- a/wisteriaford_gateway/src/server.rs
+++ b/wisteriaford_gateway/src/server.rs
@@ -40,6 +40,9 @@
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest time that a body may take if the caller names no deadline.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time that the rest of a refused request's body is read; callers notice the answer within
+/// a round trip.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Smallest buffer that the HTTP library takes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 /// Wait after a connection could not be accepted.
@@ -135,7 +138,11 @@
 
 async fn handle(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Answer {
     let _counted = InProgress::new(gateway);
-    let mut answer = answer(gateway, request).await;
+    let (parts, mut body) = request.into_parts();
+    let mut answer = answer(gateway, parts, &mut body).await;
+    if !body.is_end_stream() {
+        tokio::spawn(discard(body));
+    }
     if gateway.leaving.load(Ordering::Acquire) {
         let close = http::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
@@ -143,8 +150,20 @@
     answer
 }
 
-async fn answer(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Answer {
-    let (parts, body) = request.into_parts();
+/// Reads and drops the rest of a body that was answered early.
+///
+/// A connection closed with unread bytes is reset, and the reset can overtake the answer.
+async fn discard(mut body: Incoming) {
+    let read = async { while body.frame().await.is_some_and(|frame| frame.is_ok()) {} };
+    // A caller that still sends after this has ignored its answer.
+    drop(tokio::time::timeout(DISCARD_TIMEOUT, read).await);
+}
+
+async fn answer(
+    gateway: &Arc<Gateway>,
+    parts: http::request::Parts,
+    body: &mut Incoming,
+) -> Answer {
     let head = match gateway.callers.head(&parts) {
         Ok(head) => head,
         Err(error) => {
@@ -209,7 +228,7 @@
     refuse(reason, wait)
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Reason> {
+async fn read_body(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, Reason> {
     let declared = body.size_hint().lower();
     if usize::try_from(declared).unwrap_or(usize::MAX) > max_bytes {
         return Err(Reason::BodyTooLarge);
