Keep long items together, and load engines beside short ones

Loads were at the weight store's limit (291 in 27 s of about 11 a second), and went to the same engines for all models, first in the list: a model's slots were taken by the others' items. Engines with any item of the model were left alone, and one item in ten runs for 5 to 7 s, spread over the engines.

Ruled out: engines' pace (49 ms an event at any load), time to accept and to list (0.1 s).

--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -2,10 +2,11 @@
 //!
 //! Items of carried groups come first, as the submitter lists them first. Within a batch job,
 //! groups whose items are expected to take long start before short ones. An item goes to the
-//! engine that ran its group, bounded by load. A stream that breaks goes on at another engine
-//! after its last whole event.
+//! engine that ran its group, bounded by load; long items go to engines that run other long ones.
+//! A stream that breaks goes on at another engine after its last whole event.
 
 mod active;
+mod packing;
 mod progress;
 mod run;
 
@@ -31,9 +32,11 @@
 use crate::gateway::schedule::active::ItemRun;
 use crate::gateway::schedule::active::events_left;
 use crate::gateway::schedule::active::finish;
+use crate::gateway::schedule::active::is_long;
 use crate::gateway::schedule::active::is_over;
 use crate::gateway::schedule::active::is_same_work;
 use crate::gateway::schedule::active::start_order;
+use crate::gateway::schedule::packing::Packing;
 pub use crate::gateway::schedule::progress::Progress;
 pub use crate::gateway::schedule::progress::ProgressPart;
 pub use crate::gateway::schedule::run::Finished;
@@ -248,7 +251,11 @@
 
     /// Returns what the items of each model need.
     #[must_use]
-    pub fn demand(&self) -> IndexMap<ModelId, ModelDemand> {
+    pub fn demand(
+        &self,
+        endpoints: &EndpointTable,
+        fleet: &Fleet,
+    ) -> IndexMap<ModelId, ModelDemand> {
         let mut demand: IndexMap<ModelId, ModelDemand> = IndexMap::new();
         for (model, items) in &self.items_by_model {
             demand.entry(model.clone()).or_default().items = *items;
@@ -262,7 +269,10 @@
                 match &item.phase {
                     ItemPhase::Waiting { .. } => demand.waiting += 1,
                     ItemPhase::Running { endpoint, .. } => {
-                        *demand.running.entry(endpoint.clone()).or_default() += 1;
+                        let running = demand.running.entry(endpoint.clone()).or_default();
+                        running.items += 1;
+                        let usual = usual_pace_at(endpoint, endpoints, fleet);
+                        running.long_items += u32::from(is_long(item, usual));
                     }
                     ItemPhase::Done => {}
                 }
@@ -283,6 +293,7 @@
         accepts: impl Fn(&Endpoint, &JobHead, Option<Version>) -> bool,
     ) -> Vec<Start> {
         let mut starts = Vec::new();
+        let mut packing = self.packing(moment.endpoints, fleet);
         for active in self.jobs.values_mut() {
             let order = std::mem::take(&mut active.order);
             for id in &order {
@@ -291,10 +302,19 @@
                 };
                 let head = &active.head;
                 let admits = |endpoint: &Endpoint| accepts(endpoint, head, due.exact_version);
+                let long_of = active.long_item(id, fleet.usual_pace(due.pool));
+                let joined = long_of.and_then(|(model, tokens)| {
+                    let is_fit = |id: &EndpointId| {
+                        let endpoint = moment.endpoints.get(id);
+                        endpoint.is_some_and(|endpoint| is_fit_to_join(moment.now, endpoint, fleet))
+                            && endpoint.is_some_and(admits)
+                    };
+                    packing.choose(model, tokens, due.cache_tokens?, is_fit)
+                });
                 let query = Query {
                     pool: due.pool,
                     tried: &[],
-                    affinity: due.affinity.as_ref(),
+                    affinity: joined.as_ref().or(due.affinity.as_ref()),
                     max_in_flight: due.max_in_flight,
                     may_force: false,
                     costs: ITEM_COSTS,
@@ -306,6 +326,9 @@
                 };
                 self.last_run += 1;
                 fleet.started(&endpoint.id);
+                if let Some((model, tokens)) = long_of {
+                    packing.add(model, &endpoint.id, tokens);
+                }
                 let run = RunNumber(self.last_run);
                 let (exact_version, time_left) = (due.exact_version, due.time_left);
                 let Some((item, after_event)) = active.start(id, run, &endpoint.id, now) else {
@@ -477,6 +500,23 @@
         finished
     }
 
+    /// Returns where long items run now.
+    fn packing(&self, endpoints: &EndpointTable, fleet: &Fleet) -> Packing {
+        let mut packing = Packing::default();
+        for active in self.jobs.values() {
+            for (id, item) in &active.items {
+                let ItemPhase::Running { endpoint, .. } = &item.phase else {
+                    continue;
+                };
+                let usual = usual_pace_at(endpoint, endpoints, fleet);
+                if let Some((model, tokens)) = active.long_item(id, usual) {
+                    packing.add(model, endpoint, tokens);
+                }
+            }
+        }
+        packing
+    }
+
     fn running(&mut self, start: &Start) -> Option<&mut ItemRun> {
         let item = self.jobs.get_mut(&start.job.id)?;
         let item = item.items.get_mut(&start.item.id)?;
@@ -485,6 +525,23 @@
     }
 }
 
+/// Returns the usual time of an event in an engine's pool.
+fn usual_pace_at(
+    endpoint: &EndpointId,
+    endpoints: &EndpointTable,
+    fleet: &Fleet,
+) -> Option<Duration> {
+    let pool = endpoints.get(endpoint).map(|endpoint| &endpoint.pool)?;
+    fleet.usual_pace(pool)
+}
+
+/// Returns whether an engine is sound, as fast as others, and has a free slot.
+fn is_fit_to_join(now: Timestamp, endpoint: &Endpoint, fleet: &Fleet) -> bool {
+    fleet.is_sound(now, &endpoint.id)
+        && fleet.relative_pace(now, &endpoint.id) <= SOUND_PACE
+        && fleet.in_flight(&endpoint.id) < endpoint.slots
+}
+
 /// Returns the free slots of engines that aren't slow, by pool.
 fn free_sound_slots(
     now: Timestamp,
--- a/wisteriaford_core/src/gateway/schedule/active.rs
+++ b/wisteriaford_core/src/gateway/schedule/active.rs
@@ -19,6 +19,7 @@
 use crate::id::EndpointId;
 use crate::id::GroupId;
 use crate::id::ItemId;
+use crate::id::ModelId;
 use crate::id::PoolId;
 use crate::id::Version;
 use crate::time::Timestamp;
@@ -26,6 +27,10 @@
 /// Events that an item is expected to need beyond those that were expected, in percent of them.
 const OVERRUN_PERCENT: usize = 40;
 
+/// Time left from which an item counts as long: most of the time between two versions of a
+/// trainer, so an engine that runs it can't be loaded for the next step without delaying it.
+pub(super) const LONG_RUN: Duration = Duration::from_secs(3);
+
 /// Tokens of one event until some were counted.
 const DEFAULT_EVENT_TOKENS: u64 = 58;
 
@@ -69,6 +74,8 @@
     pub(super) pool: &'a PoolId,
     pub(super) affinity: Option<EndpointId>,
     pub(super) max_in_flight: Option<u32>,
+    /// Memory of the pool's engines, in tokens.
+    pub(super) cache_tokens: Option<u64>,
     pub(super) exact_version: Option<Version>,
     pub(super) time_left: Duration,
 }
@@ -94,11 +101,26 @@
             pool,
             affinity: affinity.cloned(),
             max_in_flight: engine.map(|engine| engine.slots),
+            cache_tokens: engine.map(|engine| engine.cache_tokens),
             exact_version: exact_version(route, item),
             time_left: time_left(&self.head, route, moment.unix_ms)?,
         })
     }
 
+    /// Returns the model and the tokens of an item that is expected to run for long still.
+    pub(super) fn long_item(
+        &self,
+        id: &ItemId,
+        usual_pace: Option<Duration>,
+    ) -> Option<(&ModelId, u64)> {
+        let item = self
+            .items
+            .get(id)
+            .filter(|item| is_long(item, usual_pace))?;
+        let model = self.head.model.as_ref()?;
+        Some((model, item.spec.tokens))
+    }
+
     /// Marks an item as running; returns it with the event after which it goes on.
     pub(super) fn start(
         &mut self,
@@ -155,6 +177,12 @@
     expected.saturating_sub(done) + overrun
 }
 
+/// Returns whether an item is expected to run for long still, at so much time an event.
+pub(super) fn is_long(item: &ItemRun, usual: Option<Duration>) -> bool {
+    let left = u32::try_from(events_left(item)).unwrap_or(u32::MAX);
+    usual.is_some_and(|usual| usual.saturating_mul(left) >= LONG_RUN)
+}
+
 /// Returns whether an item of another batch job asks for the same output.
 pub(super) fn is_same_work(before: &ItemSpec, now: &ItemSpec) -> bool {
     before.path == now.path && before.body == now.body && before.headers == now.headers
--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -21,8 +21,11 @@
 
 /// One engine in so many loads at a time; further ones wait for those.
 const ENGINES_PER_LOAD: usize = 5;
-/// Engines that are ordered beyond those, so that the next load begins when one ends.
-const QUEUED_LOADS: usize = 1;
+/// One more engine in so many is ordered beyond those, so that the next load begins when one ends.
+///
+/// A load that ended is seen by a question some hundred milliseconds later: at least one engine, and
+/// a quarter of those that load.
+const ENGINES_PER_QUEUED_LOAD: usize = 16;
 /// Time after an order before the engine is first asked how far it is.
 const FIRST_CHECK: Duration = Duration::from_millis(900);
 /// Time between two questions to an engine that loads.
@@ -43,7 +46,7 @@
 ///
 /// Models that share engines share the loads too; beyond this, versions come faster than the
 /// engines can load them for every model.
-const SHARED_SLOTS_PERCENT: u64 = 130;
+const SHARED_SLOTS_PERCENT: u64 = 100;
 
 /// Engine as the planner is told of it.
 #[derive(Clone, Debug)]
@@ -66,7 +69,16 @@
     /// Items that wait for an engine.
     pub waiting: usize,
     /// Items that run, by engine.
-    pub running: IndexMap<EndpointId, u32>,
+    pub running: IndexMap<EndpointId, RunningItems>,
+}
+
+/// Items of a model that run at an engine.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct RunningItems {
+    /// Items that are expected to run for long still; a load delays them, and with them their step.
+    pub long_items: u32,
+    /// All of them.
+    pub items: u32,
 }
 
 /// Something to ask of an engine.
@@ -159,6 +171,21 @@
     }
 }
 
+/// Rank of a load among those that could be next; the least comes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct LoadRank {
+    /// Slots of the next step that its model has, in percent; 100 if it lacks none.
+    covered_percent: u64,
+    /// Long items of the model that the engine runs.
+    long_items: u32,
+    /// The next step could use the engine as it is.
+    is_usable: bool,
+    /// Place of the engine after the first one of the model.
+    ///
+    /// Each model has a first engine of its own, so that models share engines only if they must.
+    distance: usize,
+}
+
 /// Newest version of a model.
 #[derive(Clone, Copy, Debug, Default)]
 struct Target {
@@ -223,7 +250,8 @@
         for view in views {
             actions.extend(self.inspection(now, view));
         }
-        let at_once = views.len() / ENGINES_PER_LOAD + QUEUED_LOADS;
+        let queued = (views.len() / ENGINES_PER_QUEUED_LOAD).max(1);
+        let at_once = views.len() / ENGINES_PER_LOAD + queued;
         let loading = self
             .engines
             .values()
@@ -336,12 +364,15 @@
     ) -> Option<(EndpointId, ModelId)> {
         let nothing = ModelDemand::default();
         let share_percent = self.share_percent(views, demand);
-        let mut best: Option<(u64, u32, Version, &EndpointId, &ModelId)> = None;
+        let mut best: Option<(LoadRank, &EndpointId, &ModelId)> = None;
+        let mut first_place = 0;
         for (model, target) in &self.targets {
             let demand = demand.get(model).unwrap_or(&nothing);
             let hosts = || views.iter().filter(|view| view.models.contains(model));
             let all: u64 = hosts().map(|view| u64::from(view.slots)).sum();
             let wanted = all.min(wanted_slots(demand) * share_percent / 100);
+            let place_of_model = first_place;
+            first_place += engines_for(wanted, all, hosts().count());
             // The step that follows takes the newest version and the one before it.
             let needed = Version(target.version.0.saturating_sub(ALLOWED_LAG));
             let usable = self.slots_with(hosts(), model, needed);
@@ -351,32 +382,39 @@
                 continue;
             }
             let urgent = usable < wanted;
-            let covered = if urgent {
+            let covered_percent = if urgent {
                 usable * 100 / wanted.max(1)
             } else {
                 100
             };
-            for view in hosts() {
+            for (place, view) in hosts().enumerate() {
                 let Some(engine) = self.engines.get(&view.endpoint) else {
                     continue;
                 };
-                let running = demand.running.get(&view.endpoint).copied().unwrap_or(0);
+                let running = demand.running.get(&view.endpoint).copied();
+                let running = running.unwrap_or_default();
                 let is_useful = if urgent {
                     !engine.has(model, needed)
                 } else {
-                    !engine.has(model, target.version) && demand.waiting == 0 && running == 0
+                    let is_calm = demand.waiting == 0 && running.long_items == 0;
+                    !engine.has(model, target.version) && is_calm
                 };
                 if !is_useful || !engine.is_free(now) {
                     continue;
                 }
-                let version = engine.report.as_ref().map(|r| r.version(model));
-                let rank = (covered, running, version.unwrap_or_default());
-                if best.is_none_or(|best| rank < (best.0, best.1, best.2)) {
-                    best = Some((rank.0, rank.1, rank.2, &view.endpoint, model));
+                let count = views.len();
+                let rank = LoadRank {
+                    covered_percent,
+                    long_items: running.long_items,
+                    is_usable: engine.has(model, needed),
+                    distance: (place + count - place_of_model % count) % count,
+                };
+                if best.is_none_or(|best| rank < best.0) {
+                    best = Some((rank, &view.endpoint, model));
                 }
             }
         }
-        best.map(|(_, _, _, endpoint, model)| (endpoint.clone(), model.clone()))
+        best.map(|(_, endpoint, model)| (endpoint.clone(), model.clone()))
     }
 
     /// Returns the part of the slots that each model wants which all of them can have.
@@ -426,6 +464,13 @@
     }
 }
 
+/// Returns the number of engines that have so many of all slots.
+fn engines_for(slots: u64, all_slots: u64, engines: usize) -> usize {
+    let engines = u64::try_from(engines).unwrap_or(u64::MAX);
+    let part = slots.saturating_mul(engines).div_ceil(all_slots.max(1));
+    usize::try_from(part).unwrap_or(usize::MAX)
+}
+
 /// Returns the slots that a model wants.
 fn wanted_slots(demand: &ModelDemand) -> u64 {
     demand.items.max(1) * SLOTS_PER_ITEM_PERCENT / 100
--- a/wisteriaford_gateway/src/orders.rs
+++ b/wisteriaford_gateway/src/orders.rs
@@ -40,7 +40,7 @@
 
 fn due(gateway: &Gateway) -> Vec<WeightAction> {
     let view = gateway.view.load();
-    let demand = gateway.schedule().demand();
+    let demand = gateway.schedule().demand(&view.endpoints, &gateway.fleet());
     let mut plan = gateway.plan();
     for (model, version) in view.weights.iter() {
         plan.set_target(clock::now(), model, *version);
@@ -58,7 +58,10 @@
         models: endpoint.weights.iter().map(|(m, _)| m.clone()).collect(),
         started_unix_ms: endpoint.started_unix_ms,
     });
-    views.collect()
+    let mut views: Vec<_> = views.collect();
+    // The same order at every instance, so that another holder goes on with the same engines.
+    views.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
+    views
 }
 
 async fn carry_out(gateway: Arc<Gateway>, action: WeightAction) {
