Serve the daemon's callers with hyper, one thread for all connections

What both daemons need is in one crate, wisteriaford_http: accepting, waiting for the first byte, reading a body within its limits, and reading on after an early answer; the gateway's own copies are gone. The core's event for a caller that left, which only the fakes sent, is sent by the daemon. Its client towards endpoints stays on oxhttp.

Also: lost_at_shutdown of the quickstart counted only the requests that the shutdown began with; it counts those that come while it goes on, by callers of their own.

--- a/wisteriaford_bench/src/processes/daemon.rs
+++ b/wisteriaford_bench/src/processes/daemon.rs
@@ -129,6 +129,15 @@
         &mut self.process
     }
 
+    /// Returns the resident memory of the process, in kB.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended.
+    pub fn resident_kb(&self) -> Result<u64> {
+        self.process.resident_kb()
+    }
+
     /// Signals the process.
     ///
     /// # Errors
--- a/wisteriaford_bench/src/processes/process.rs
+++ b/wisteriaford_bench/src/processes/process.rs
@@ -92,6 +92,21 @@
         locked(&self.lines).clone()
     }
 
+    /// Returns the resident memory of the process, in kB.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended.
+    pub fn resident_kb(&self) -> Result<u64> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path);
+        let status = status.map_err(|source| system_error(&self.name, source))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let size = line.and_then(|line| line.split_whitespace().next());
+        let size = size.and_then(|digits| digits.parse().ok());
+        size.ok_or_else(|| system_error(&self.name, std::io::ErrorKind::InvalidData.into()))
+    }
+
     /// Signals the process.
     ///
     /// # Errors
--- a/wisteriaford_bench/src/quickstart.rs
+++ b/wisteriaford_bench/src/quickstart.rs
@@ -128,14 +128,13 @@
     let mut fleet = Fleet::start(&plan)?;
     let configuration_in_force_ms = publish(&fleet)?;
     fleet.wait_until_ready(FIRST_REVISION)?;
-    let callers = start_callers(&fleet);
     let mut training = Training::default();
+    let callers = start_callers(&fleet, "interactive");
     train_through_swaps(&fleet, settings, &mut training)?;
-    let shutdown = shut_down_under_load(&mut fleet, settings, &mut training)?;
-    let mut interactive = Tally::default();
-    for caller in callers {
-        interactive.add(caller.finish());
-    }
+    let interactive = finish_callers(callers);
+    let callers = start_callers(&fleet, "late");
+    let mut shutdown = shut_down_under_load(&mut fleet, settings, &mut training)?;
+    shutdown.in_progress.add(finish_callers(callers));
     Ok(conclude(
         configuration_in_force_ms,
         &training,
@@ -162,13 +161,21 @@
     Ok(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX))
 }
 
-fn start_callers(fleet: &Fleet) -> Vec<Interactive> {
+fn start_callers(fleet: &Fleet, name: &str) -> Vec<Interactive> {
     say("interactive callers start");
     (0..INTERACTIVE_CALLERS)
-        .map(|place| Interactive::start(&format!("interactive-{place}"), fleet.client(place)))
+        .map(|place| Interactive::start(&format!("{name}-{place}"), fleet.client(place)))
         .collect()
 }
 
+fn finish_callers(callers: Vec<Interactive>) -> Tally {
+    let mut tally = Tally::default();
+    for caller in callers {
+        tally.add(caller.finish());
+    }
+    tally
+}
+
 /// Runs steps with each version of the weights, each through another daemon.
 fn train_through_swaps(fleet: &Fleet, settings: &Settings, training: &mut Training) -> Result<()> {
     let all: Vec<usize> = (0..fleet.daemons.len()).collect();
--- a/wisteriaford_bench/src/quickstart/shutdown.rs
+++ b/wisteriaford_bench/src/quickstart/shutdown.rs
@@ -24,7 +24,8 @@
 /// What came of a shutdown.
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
-    /// Requests that were in progress when the signal was sent, and what they got.
+    /// Requests that were in progress when the signal was sent or came while the daemon shut down,
+    /// and what they got.
     pub in_progress: Tally,
     /// Exit code of the daemon; none after a signal.
     pub exit_code: Option<i32>,
--- a/wisteriaford_bench/src/quickstart/summary.rs
+++ b/wisteriaford_bench/src/quickstart/summary.rs
@@ -26,7 +26,8 @@
     pub interactive_complete: u64,
     /// Time from the publication until it was in force at every daemon, in milliseconds.
     pub configuration_in_force_ms: u64,
-    /// Requests in progress at a graceful shutdown that got no whole answer.
+    /// Requests in progress at a graceful shutdown, or sent while it went on to any daemon, that got
+    /// no whole answer.
     pub lost_at_shutdown: u64,
     /// Versions of the weights that the samples name.
     pub versions_seen: BTreeSet<u64>,
--- a/wisteriaford_gateway/src/refusal.rs
+++ b/wisteriaford_gateway/src/refusal.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
 use rand::RngExt;
+use wisteriaford_http::BodyError;
 
 use crate::client::CallError;
 
@@ -86,6 +87,16 @@
     }
 }
 
+impl From<BodyError> for Reason {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::BodyTooLarge,
+            BodyError::TooSlow => Self::BodyTooSlow,
+            BodyError::Broken => Self::BadBody,
+        }
+    }
+}
+
 /// Returns a whole body.
 pub(crate) fn whole(body: impl Into<Bytes>) -> AnswerBody {
     Full::new(body.into())
--- a/wisteriaford_gateway/src/server.rs
+++ b/wisteriaford_gateway/src/server.rs
@@ -6,15 +6,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Collected;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -40,56 +34,27 @@
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest time that a body may take if the caller names no deadline.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest time that the rest of a refused request's body is read; callers notice the answer within
-/// a round trip.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Smallest buffer that the HTTP library takes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
-/// Wait after a connection could not be accepted.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// Accepts callers until the gateway stops.
 pub(crate) async fn serve_callers(gateway: Arc<Gateway>, listener: TcpListener) {
-    accept(listener, gateway.stop.clone(), |stream| {
+    let mut stop = gateway.stop.clone();
+    wisteriaford_http::accept(listener, None, stopped(&mut stop), |stream, _| {
         let gateway = Arc::clone(&gateway);
         tokio::spawn(serve_caller(gateway, stream));
     })
     .await;
 }
 
-async fn accept(
-    listener: TcpListener,
-    mut stop: tokio::sync::watch::Receiver<bool>,
-    serve: impl Fn(TcpStream),
-) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stopped(&mut stop) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => serve(stream),
-            Err(error) => {
-                log::warn!(error:% = error; "connection not accepted");
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
-            }
-        }
-    }
-}
-
 async fn serve_caller(gateway: Arc<Gateway>, stream: TcpStream) {
-    // Without it small answers wait for acknowledgements; the connection works either way.
-    drop(stream.set_nodelay(true));
     let idle_timeout = gateway.view.load().routes.limits.idle_timeout;
     let mut stop = gateway.stop.clone();
-    let mut first_byte = [0];
-    let has_bytes = tokio::select! {
-        peeked = tokio::time::timeout(idle_timeout, stream.peek(&mut first_byte)) => {
-            matches!(peeked, Ok(Ok(1)))
-        }
+    let has_request = tokio::select! {
+        has_request = wisteriaford_http::has_request(&stream, idle_timeout) => has_request,
         () = stopped(&mut stop) => false,
     };
-    if has_bytes {
+    if has_request {
         // On the heap, and only now: a connection without a request needs none of its buffers.
         Box::pin(serve_requests(gateway, stream)).await;
     }
@@ -140,9 +105,7 @@
     let _counted = InProgress::new(gateway);
     let (parts, mut body) = request.into_parts();
     let mut answer = answer(gateway, parts, &mut body).await;
-    if !body.is_end_stream() {
-        tokio::spawn(discard(body));
-    }
+    wisteriaford_http::discard(body);
     if gateway.leaving.load(Ordering::Acquire) {
         let close = http::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
@@ -150,15 +113,6 @@
     answer
 }
 
-/// Reads and drops the rest of a body that was answered early.
-///
-/// A connection closed with unread bytes is reset, and the reset can overtake the answer.
-async fn discard(mut body: Incoming) {
-    let read = async { while body.frame().await.is_some_and(|frame| frame.is_ok()) {} };
-    // A caller that still sends after this has ignored its answer.
-    drop(tokio::time::timeout(DISCARD_TIMEOUT, read).await);
-}
-
 async fn answer(
     gateway: &Arc<Gateway>,
     parts: http::request::Parts,
@@ -192,10 +146,11 @@
     let route = Arc::clone(route);
     let max_body_bytes = view.routes.limits.max_body_bytes;
     let body_timeout = head.time_left.unwrap_or(DEFAULT_BODY_TIMEOUT);
-    let read = tokio::time::timeout(body_timeout, read_body(body, max_body_bytes));
-    let body = match read.await.unwrap_or(Err(Reason::BodyTooSlow)) {
+    let read = wisteriaford_http::read_body(body, max_body_bytes, body_timeout);
+    let body = match read.await {
         Ok(body) => body,
-        Err(reason) => {
+        Err(error) => {
+            let reason = Reason::from(error);
             log::warn!(request:% = head.request, reason:% = reason; "body refused");
             gateway.metrics.refused(reason);
             return refuse(reason, None);
@@ -228,21 +183,6 @@
     refuse(reason, wait)
 }
 
-async fn read_body(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, Reason> {
-    let declared = body.size_hint().lower();
-    if usize::try_from(declared).unwrap_or(usize::MAX) > max_bytes {
-        return Err(Reason::BodyTooLarge);
-    }
-    let read = Limited::new(body, max_bytes).collect().await;
-    read.map(Collected::to_bytes).map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            Reason::BodyTooLarge
-        } else {
-            Reason::BadBody
-        }
-    })
-}
-
 /// Answers questions for readiness until the process ends.
 pub(crate) async fn serve_readiness(gateway: Arc<Gateway>, listener: TcpListener) {
     serve_plain(listener, move |request: Request<Incoming>| {
@@ -288,8 +228,8 @@
 ) where
     F: Future<Output = Answer> + Send + 'static,
 {
-    let (_keep, never) = tokio::sync::watch::channel(false);
-    accept(listener, never, |stream| {
+    let never = std::future::pending();
+    wisteriaford_http::accept(listener, None, never, |stream, _| {
         let answer = answer.clone();
         let service = service_fn(move |request| {
             let answer = answer(request);
--- /dev/null
+++ b/wisteriaford_http/src/lib.rs
@@ -0,0 +1,11 @@
+//! What the servers of wisteriaford share: connections, and bodies of requests.
+
+mod body;
+mod connection;
+
+pub use crate::body::BodyError;
+pub use crate::body::discard;
+pub use crate::body::read_body;
+pub use crate::connection::Permit;
+pub use crate::connection::accept;
+pub use crate::connection::has_request;
--- a/wisteriafordd/src/app.rs
+++ b/wisteriafordd/src/app.rs
@@ -141,7 +141,7 @@
 ) -> Result<(), StartError> {
     let settings = server::ServerSettings {
         max_connections: arguments.max_connections as usize,
-        max_body_bytes: arguments.max_body_bytes,
+        max_body_bytes: usize::try_from(arguments.max_body_bytes).unwrap_or(usize::MAX),
         identity: identity.clone(),
     };
     let service = server::Service::new(settings, Arc::clone(shared), metrics, inputs);
--- a/wisteriafordd/src/runtime.rs
+++ b/wisteriafordd/src/runtime.rs
@@ -10,8 +10,8 @@
 use arc_swap::ArcSwap;
 use crossbeam::channel::Receiver;
 use crossbeam::channel::RecvTimeoutError;
-use crossbeam::channel::Sender;
 use indexmap::IndexMap;
+use tokio::sync::oneshot;
 use wisteriaford_core::counters::Counters;
 use wisteriaford_core::effect::Effect;
 use wisteriaford_core::event::CallerRequest;
@@ -42,7 +42,9 @@
     /// An event for the core.
     Event(Event),
     /// A caller's request, with the way back for its answer.
-    Caller(CallerRequest, Sender<Reply>),
+    Caller(Ticket, CallerRequest, oneshot::Sender<Reply>),
+    /// A caller closed its connection before the answer.
+    CallerLeft(Ticket),
     /// A peer sent something that is no message.
     DamagedPeerMessage,
 }
@@ -99,8 +101,7 @@
     shared: Arc<Shared>,
     workers: Workers,
     peers: Peers,
-    callers: IndexMap<Ticket, Sender<Reply>>,
-    next_ticket: u64,
+    callers: IndexMap<Ticket, oneshot::Sender<Reply>>,
     shutting_down_since: Option<Instant>,
     shutdown_timeout: Duration,
 }
@@ -121,7 +122,6 @@
             workers,
             peers: Peers::new(),
             callers: IndexMap::new(),
-            next_ticket: 0,
             shutting_down_since: None,
             shutdown_timeout,
         }
@@ -159,12 +159,14 @@
     fn input(&mut self, input: Input) -> bool {
         match input {
             Input::Event(event) => self.handle(event),
-            Input::Caller(request, reply) => {
-                let ticket = Ticket(self.next_ticket);
-                self.next_ticket += 1;
+            Input::Caller(ticket, request, reply) => {
                 self.callers.insert(ticket, reply);
                 self.handle(Event::Caller(ticket, request))
             }
+            Input::CallerLeft(ticket) => {
+                self.callers.swap_remove(&ticket);
+                self.handle(Event::CallerGone(ticket))
+            }
             Input::DamagedPeerMessage => {
                 self.shared
                     .damaged_peer_messages
@@ -250,7 +252,7 @@
     let end = Instant::now() + LONGEST_REFUSAL;
     let mut quiet_at = Instant::now() + QUIET;
     while let Ok(input) = inputs.recv_deadline(quiet_at.min(end)) {
-        if let Input::Caller(_, reply) = input {
+        if let Input::Caller(_, _, reply) = input {
             let refusal = Refusal::not_run(RefusalReason::ShuttingDown);
             // A caller that went away does not wait for its answer.
             let _ = reply.send(Reply::Refused(None, refusal));
--- a/wisteriafordd/src/server/answer.rs
+++ b/wisteriafordd/src/server/answer.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use oxhttp::model::Body;
-use oxhttp::model::Response;
-use oxhttp::model::StatusCode;
-use oxhttp::model::header::CONTENT_TYPE;
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::Full;
 use serde::Serialize;
 use wisteriaford_client::message::CallerShare;
 use wisteriaford_client::message::ConfigurationAnswer;
@@ -57,17 +58,21 @@
 }
 
 /// Returns an answer of plain text.
-pub(crate) fn text(text: &str) -> Response<Body> {
+pub(crate) fn text(text: &str) -> Response<Full<Bytes>> {
     with_type(StatusCode::OK, "text/plain", text.as_bytes().to_vec())
 }
 
 /// Returns an answer with a content type.
-pub(crate) fn with_type(status: StatusCode, content_type: &str, body: Vec<u8>) -> Response<Body> {
+pub(crate) fn with_type(
+    status: StatusCode,
+    content_type: &str,
+    body: Vec<u8>,
+) -> Response<Full<Bytes>> {
     Response::builder()
         .status(status)
         .header(CONTENT_TYPE, content_type)
-        .body(Body::from(body))
-        .unwrap_or_else(|_| Response::new(Body::empty()))
+        .body(Full::from(body))
+        .unwrap_or_else(|_| Response::new(Full::default()))
 }
 
 /// Writes a reply as an answer.
@@ -79,7 +84,7 @@
     reply: Reply,
     asked: &Asked,
     identity: &Identity,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Full<Bytes>>, Failure> {
     match reply {
         Reply::Generated(generated) => Ok(json(&generate_answer(generated, identity))),
         Reply::Called(called) => Ok(called_response(called, identity)),
@@ -100,7 +105,7 @@
     }
 }
 
-fn json(answer: &impl Serialize) -> Response<Body> {
+fn json(answer: &impl Serialize) -> Response<Full<Bytes>> {
     let bytes = serde_json::to_vec(answer).unwrap_or_default();
     with_type(StatusCode::OK, "application/json", bytes)
 }
@@ -116,15 +121,15 @@
     }
 }
 
-fn called_response(called: Called, identity: &Identity) -> Response<Body> {
+fn called_response(called: Called, identity: &Identity) -> Response<Full<Bytes>> {
     Response::builder()
         .status(called.status)
         .header(CONTENT_TYPE, called.content_type.as_str())
         .header("wisteriaford-request-id", called.request.as_str())
         .header("wisteriaford-endpoint", called.endpoint.as_str())
         .header("wisteriaford-instance", identity.id.as_str())
-        .body(Body::from(called.body))
-        .unwrap_or_else(|_| Response::new(Body::empty()))
+        .body(Full::from(called.body))
+        .unwrap_or_else(|_| Response::new(Full::default()))
 }
 
 fn pull_answer(pulled: step::PullAnswer) -> PullAnswer {
@@ -165,7 +170,7 @@
     decisions: Option<Vec<(Timestamp, Decision)>>,
     asked: &Asked,
     identity: &Identity,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Full<Bytes>>, Failure> {
     let Some(decisions) = decisions else {
         return Err(Failure::RequestUnknown);
     };
--- a/wisteriafordd/src/server/failure.rs
+++ b/wisteriafordd/src/server/failure.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use derive_more::Display;
-use oxhttp::model::Body;
-use oxhttp::model::Response;
-use oxhttp::model::StatusCode;
-use oxhttp::model::header::CONTENT_TYPE;
-use oxhttp::model::header::RETRY_AFTER;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use http_body_util::Full;
 use wisteriaford_client::message::ErrorAnswer;
 use wisteriaford_client::message::ErrorBody;
 use wisteriaford_client::message::MessageError;
@@ -35,8 +36,11 @@
     #[display("a body has at most {limit_bytes} bytes")]
     TooLarge {
         /// Longest body.
-        limit_bytes: u64,
+        limit_bytes: usize,
     },
+    /// The body did not arrive in time.
+    #[display("the body took too long")]
+    BodyTooSlow,
     /// The body ended early.
     #[display("the body ended before it was whole")]
     TruncatedBody,
@@ -75,13 +79,13 @@
 impl Failure {
     /// Returns the failure as an answer with a typed JSON body.
     #[must_use]
-    pub fn response(&self) -> Response<Body> {
+    pub fn response(&self) -> Response<Full<Bytes>> {
         self.with_outcome(self.outcome())
     }
 
     /// Returns the failure as an answer to a call whose key may have been sent before.
     #[must_use]
-    pub fn response_to_repeat(&self) -> Response<Body> {
+    pub fn response_to_repeat(&self) -> Response<Full<Bytes>> {
         let outcome = match self {
             // The core knows of the key and said what can be said.
             Self::Refused(..) => self.outcome(),
@@ -90,7 +94,7 @@
         self.with_outcome(outcome)
     }
 
-    fn with_outcome(&self, outcome: Option<Outcome>) -> Response<Body> {
+    fn with_outcome(&self, outcome: Option<Outcome>) -> Response<Full<Bytes>> {
         let body = ErrorAnswer {
             error: ErrorBody {
                 code: self.code().to_owned(),
@@ -109,8 +113,8 @@
         }
         let bytes = serde_json::to_vec(&body).unwrap_or_default();
         response
-            .body(Body::from(bytes))
-            .unwrap_or_else(|_| Response::new(Body::empty()))
+            .body(Full::from(bytes))
+            .unwrap_or_else(|_| Response::new(Full::default()))
     }
 
     /// Returns the reason to count for a request that did not reach the core, if there is one.
@@ -119,6 +123,7 @@
         match self {
             Self::TooLarge { .. } => Some(RefusalReason::TooLarge),
             Self::WrongContentType
+            | Self::BodyTooSlow
             | Self::TruncatedBody
             | Self::Json(_)
             | Self::Message(_)
@@ -140,6 +145,7 @@
             Self::MethodNotAllowed => "method_not_allowed",
             Self::WrongContentType => "wrong_content_type",
             Self::TooLarge { .. } => RefusalReason::TooLarge.code(),
+            Self::BodyTooSlow => "body_too_slow",
             Self::TruncatedBody => "truncated_body",
             Self::Json(_) => "malformed_json",
             Self::Message(_) | Self::Header { .. } | Self::Path(_) | Self::StepNumber => {
@@ -158,6 +164,7 @@
             Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             Self::WrongContentType => StatusCode::UNSUPPORTED_MEDIA_TYPE,
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::TruncatedBody
             | Self::Json(_)
             | Self::Message(_)
--- a/wisteriafordd/src/server/question.rs
+++ b/wisteriafordd/src/server/question.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use oxhttp::model::HeaderMap;
-use oxhttp::model::header::CONTENT_TYPE;
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
 use wisteriaford_client::message::GenerateRequest;
 use wisteriaford_client::message::PullRequest;
 use wisteriaford_core::event::CallerRequest;
--- a/wisteriafordd/tests/http.rs
+++ b/wisteriafordd/tests/http.rs
@@ -4,11 +4,14 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use oxhttp::model::Body;
-use oxhttp::model::HeaderMap;
-use oxhttp::model::HeaderValue;
-use oxhttp::model::Response;
-use oxhttp::model::header::HeaderName;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
@@ -53,11 +56,12 @@
     error_of(failure.response())
 }
 
-fn error_of(response: Response<Body>) -> (u16, Option<String>, Value) {
+fn error_of(response: Response<Full<Bytes>>) -> (u16, Option<String>, Value) {
     let status = response.status().as_u16();
     let retry_after = response.headers().get("retry-after");
     let retry_after = retry_after.map(|value| value.to_str().unwrap().to_owned());
-    let body = response.into_body().to_vec().unwrap();
+    let body = response.into_body().collect().now_or_never();
+    let body = body.expect("a body that is whole").unwrap().to_bytes();
     let body: Value = serde_json::from_slice(&body).unwrap();
     (status, retry_after, body["error"].clone())
 }
