Start items by their own expected length

They were ordered by the longest item of their group, and nearly every group has one: the order said little, and long items of the groups behind waited with their short ones. Items now start longest first, whatever their group; only what is soon done waits.

groups_that_take_long_start_first asked for the order that is given up (a long group's short item before another group's items); items_that_take_long_start_first_whatever_their_group asks for the whole order that replaces it.

Ruled out: reading a shared prompt at a second engine, 2.4 ms for 1,000 tokens.

--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -1,7 +1,7 @@
 //! Running the items of batch jobs: which starts next, and at which engine.
 //!
-//! Items of carried groups come first, as the submitter lists them first. Within a batch job,
-//! groups whose items are expected to take long start before short ones. An item goes to the
+//! Items of carried groups come first, as the submitter lists them first. Within a batch job, items
+//! that are expected to take long start before short ones. An item goes to the
 //! engine that ran its group, bounded by load; long items go to engines that run other long ones.
 //! A stream that breaks goes on at another engine after its last whole event.
 
--- a/wisteriaford_core/src/gateway/schedule/active.rs
+++ b/wisteriaford_core/src/gateway/schedule/active.rs
@@ -208,24 +208,22 @@
     item.progress.versions.first().copied().filter(|_| single)
 }
 
-/// Orders items by their group's longest expected output; carried groups keep their place in front.
+/// Orders items by their expected output, longest first; those with output from an earlier run keep
+/// their place in front.
+///
+/// While slots are short, only items that are soon done wait. Groups don't stay together: most of
+/// them have a long item, and the others would wait behind its short ones.
 pub(super) fn start_order(
     specs: &[Arc<ItemSpec>],
     items: &IndexMap<ItemId, ItemRun>,
 ) -> Vec<ItemId> {
-    let mut longest: IndexMap<Option<&GroupId>, u64> = IndexMap::new();
-    for spec in specs {
-        let expected = longest.entry(spec.group.as_ref()).or_default();
-        *expected = (*expected).max(spec.expected_output_tokens);
-    }
     let mut order: Vec<&Arc<ItemSpec>> = specs.iter().collect();
     order.retain(|spec| items.contains_key(&spec.id));
     order.sort_by_key(|spec| {
         let is_carried = items
             .get(&spec.id)
             .is_some_and(|i| i.progress.last_event.is_some());
-        let expected = longest.get(&spec.group.as_ref()).copied().unwrap_or(0);
-        (!is_carried, std::cmp::Reverse(expected))
+        (!is_carried, std::cmp::Reverse(spec.expected_output_tokens))
     });
     order.into_iter().map(|spec| spec.id.clone()).collect()
 }
--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -108,22 +108,24 @@
     starts.iter().map(|start| start.item.id.as_str()).collect()
 }
 
+/// Pattern: a step has more items than there are slots, and nearly every group has a long one.
 #[test]
-fn groups_that_take_long_start_first() {
-    let mut world = World::new(&["e"], 4);
+fn items_that_take_long_start_first_whatever_their_group() {
+    let mut world = World::new(&["e"], 3);
     world.open(&job(
         "j",
         vec![
-            item("a1", "short", 100),
-            item("a2", "short", 120),
-            item("b1", "long", 50),
-            item("b2", "long", 9_000),
+            item("a1", "a", 100),
+            item("a2", "a", 8_000),
+            item("b1", "b", 50),
+            item("b2", "b", 9_000),
         ],
     ));
 
     let starts = world.starts(at(0));
 
-    assert_eq!(names(&starts), ["b1", "b2", "a1", "a2"]);
+    assert_eq!(names(&starts), ["b2", "a2", "a1"]);
+    assert_eq!(world.schedule.waiting(), 1);
 }
 
 #[test]
