--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -330,7 +330,8 @@
                     packing.add(model, &endpoint.id, tokens);
                 }
                 let run = RunNumber(self.last_run);
-                let (exact_version, time_left) = (due.exact_version, due.time_left);
+                let (exact_version, priority) = (due.exact_version, due.priority);
+                let time_left = due.time_left;
                 let Some((item, after_event)) = active.start(id, run, &endpoint.id, now) else {
                     continue;
                 };
@@ -343,6 +344,7 @@
                     min_version: active.head.min_version,
                     exact_version,
                     time_left,
+                    priority,
                     reason,
                 });
             }
--- a/wisteriaford_core/src/gateway/schedule/active.rs
+++ b/wisteriaford_core/src/gateway/schedule/active.rs
@@ -78,6 +78,7 @@
     pub(super) cache_tokens: Option<u64>,
     pub(super) exact_version: Option<Version>,
     pub(super) time_left: Duration,
+    pub(super) priority: u32,
 }
 
 impl ActiveJob {
@@ -104,6 +105,7 @@
             cache_tokens: engine.map(|engine| engine.cache_tokens),
             exact_version: exact_version(route, item),
             time_left: time_left(&self.head, route, moment.unix_ms)?,
+            priority: route.priority,
         })
     }
 
--- a/wisteriaford_core/src/gateway/schedule/run.rs
+++ b/wisteriaford_core/src/gateway/schedule/run.rs
@@ -37,6 +37,8 @@
     pub exact_version: Option<Version>,
     /// Time left until the item is given up.
     pub time_left: Duration,
+    /// Rank of the item's route; 0 is the highest.
+    pub priority: u32,
     /// Why the engine was chosen.
     pub reason: ChoiceReason,
 }
--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -126,6 +126,8 @@
 
     assert_eq!(names(&starts), ["b2", "a2", "a1"]);
     assert_eq!(world.schedule.waiting(), 1);
+    // The rank of the route of `batch_table`.
+    assert!(starts.iter().all(|start| start.priority == 1));
 }
 
 #[test]
--- a/wisteriaford_gateway/src/border.rs
+++ b/wisteriaford_gateway/src/border.rs
@@ -371,10 +371,21 @@
     pub body: Bytes,
 }
 
+/// What an endpoint is told of a request, beside what its caller said.
+#[derive(Clone, Copy, Debug)]
+pub struct CallFacts<'a> {
+    /// Endpoint that is meant; any other one must refuse the request.
+    pub endpoint: &'a EndpointId,
+    /// Time until nobody waits for the answer.
+    pub time_left: Duration,
+    /// Rank among the requests of a model engine, 0 first; none for other endpoints.
+    pub priority: Option<u32>,
+}
+
 /// How endpoints speak.
 pub trait EndpointProtocol: Send + Sync {
-    /// Sets the header fields of a forwarded call that the gateway is responsible for.
-    fn set_call_headers(&self, headers: &mut HeaderMap, endpoint: &EndpointId, time_left: Duration);
+    /// Sets the header fields of a request that the gateway is responsible for.
+    fn set_call_headers(&self, headers: &mut HeaderMap, call: &CallFacts<'_>);
 
     /// Sets the event after which a stream goes on.
     fn set_after_event(&self, headers: &mut HeaderMap, event: u64);
--- a/wisteriaford_gateway/src/caller_jobs.rs
+++ b/wisteriaford_gateway/src/caller_jobs.rs
@@ -26,6 +26,7 @@
 use crate::clock;
 use crate::contents;
 use crate::contents::ContentError;
+use crate::contents::RESULT_OVERHEAD_BYTES;
 use crate::refusal::Answer;
 use crate::refusal::Reason;
 use crate::refusal::refuse;
@@ -50,8 +51,6 @@
 const MAX_JOB_AGE: Duration = Duration::from_secs(3_600);
 /// Most batch jobs that are deleted in one append.
 const MAX_DELETED_AT_ONCE: usize = 50;
-/// Bytes that a result's names take in an answer beside its text.
-const RESULT_OVERHEAD_BYTES: usize = 200;
 /// Time that a batch job is kept beyond its retention, for clocks that run apart.
 const DELETE_MARGIN: Duration = Duration::from_secs(30);
 /// Most bytes of the results in one answer, with room for the encoding around them.
--- a/wisteriaford_gateway/src/contents.rs
+++ b/wisteriaford_gateway/src/contents.rs
@@ -31,6 +31,10 @@
 /// the log is down. More instances would load the log with it.
 const MAX_PREFETCHING: usize = 20;
 
+/// Bytes that a result's names take beside its text, in a record as in an answer: two ids and a list
+/// of versions.
+pub(crate) const RESULT_OVERHEAD_BYTES: usize = 200;
+
 /// Why a content can't be had.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum ContentError {
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -26,6 +26,7 @@
 use wisteriaford_core::time::Timestamp;
 
 use crate::border::AnswerFacts;
+use crate::border::CallFacts;
 use crate::border::CallerHead;
 use crate::border::EndpointRequest;
 use crate::client::CallError;
@@ -408,9 +409,13 @@
     let mut headers = call.parts.headers.clone();
     remove_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
-    let time_left = call.deadline.since(clock::now());
+    let facts = CallFacts {
+        endpoint: &endpoint.id,
+        time_left: call.deadline.since(clock::now()),
+        priority: call.route.prompt_affinity.then_some(call.route.priority),
+    };
     let protocol = &gateway.endpoints;
-    protocol.set_call_headers(&mut headers, &endpoint.id, time_left);
+    protocol.set_call_headers(&mut headers, &facts);
     if let Some(event) = after_event {
         protocol.set_after_event(&mut headers, event);
     }
--- a/wisteriaford_gateway/src/outbox.rs
+++ b/wisteriaford_gateway/src/outbox.rs
@@ -16,6 +16,7 @@
 use crate::border::LogError;
 use crate::border::Topic;
 use crate::contents;
+use crate::contents::RESULT_OVERHEAD_BYTES;
 use crate::state::Gateway;
 use crate::state::lock;
 use crate::state::stopped;
@@ -26,8 +27,6 @@
 const SETTLE: Duration = Duration::from_millis(300);
 /// Wait after an append that had no effect.
 const BACKOFF: Duration = Duration::from_millis(150);
-/// Bytes that a result's names take in a record beside its text.
-const RESULT_OVERHEAD_BYTES: usize = 200;
 
 /// Results that wait to be listed.
 #[derive(Default)]
