Do less for each engine and item, and start no item by an old fold

Found by reading what runs for each engine:

- every heartbeat of every engine copied the whole table of endpoints: an entry that says nothing new is now only compared;
- every choice of an engine computed each cost twice or more, with a copy of its name, and each waiting item looked at all engines though the one before it had found none: once each now;
- the planner of loads compared all engines with all engines 20 times a second;
- the holder of the duty started items by whatever it had read last; it now starts none by a fold over 2 s old while the log answers.

Likely, and not measured: every instance reads every entry, 3,000 engines write 2,500 a second, and the store's reading rate is shared.

--- a/wisteriaford_core/src/gateway/endpoint.rs
+++ b/wisteriaford_core/src/gateway/endpoint.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Returns whether an entry says what is known already, so that it needs not be inserted.
+    ///
+    /// Nearly all entries do: an endpoint repeats its own every second or so.
+    #[must_use]
+    pub fn knows(&self, endpoint: &Endpoint) -> bool {
+        self.endpoints.get(&endpoint.id) == Some(endpoint)
+            && !self.lapsed.contains_key(&endpoint.id)
+    }
+
     /// Takes the removal of an entry.
     ///
     /// With `lapse_until`, the list was out of reach until now, and the entry counts until then.
@@ -110,6 +119,12 @@
         names.cloned().collect()
     }
 
+    /// Returns whether an entry that lapsed did not come back in time.
+    #[must_use]
+    pub fn has_expired(&self, now: Timestamp) -> bool {
+        self.lapsed.values().any(|until| *until <= now)
+    }
+
     /// Removes the endpoints whose lapsed entry did not come back in time, and returns them.
     pub fn expire_lapsed(&mut self, now: Timestamp) -> Vec<EndpointId> {
         let due = self.lapsed.iter().filter(|(_, until)| **until <= now);
--- a/wisteriaford_core/src/gateway/fleet.rs
+++ b/wisteriaford_core/src/gateway/fleet.rs
@@ -286,23 +286,26 @@
         let candidates: Vec<&Endpoint> = table
             .iter()
             .filter(|endpoint| endpoint.pool == *query.pool && !endpoint.leaving)
+            .filter(|endpoint| self.has_room(endpoint, query))
             .filter(|endpoint| !query.tried.contains(&endpoint.id))
             .filter(|endpoint| accepts(endpoint))
-            .filter(|endpoint| self.has_room(endpoint, query))
             .collect();
         let is_sound = |endpoint: &&&Endpoint| self.is_sound(now, &endpoint.id);
-        let cost = |endpoint: &Endpoint| {
-            let idle = idle_connections(&endpoint.id);
-            self.cost(now, endpoint, &query.costs, idle)
+        let cached = query.affinity.and_then(|cached| {
+            let cached = candidates.iter().filter(is_sound).find(|e| e.id == *cached);
+            cached.filter(|e| self.relative_pace(now, &e.id) < MAX_AFFINITY_PACE)
+        });
+        let cheapest = || {
+            let sound = candidates.iter().filter(is_sound);
+            let costs = sound.map(|endpoint| {
+                let idle = idle_connections(&endpoint.id);
+                (endpoint, self.cost(now, endpoint, &query.costs, idle))
+            });
+            let cheapest = costs.min_by(|a, b| a.1.total_cmp(&b.1));
+            cheapest.map(|(endpoint, _)| endpoint)
         };
-        let by_cost = |a: &&&Endpoint, b: &&&Endpoint| cost(a).total_cmp(&cost(b));
         let mut forced = false;
-        let mut chosen = candidates.iter().filter(is_sound).min_by(by_cost);
-        if let Some(cached) = query.affinity {
-            let cached = candidates.iter().filter(is_sound).find(|e| e.id == *cached);
-            let cached = cached.filter(|e| self.relative_pace(now, &e.id) < MAX_AFFINITY_PACE);
-            chosen = cached.or(chosen);
-        }
+        let mut chosen = cached.or_else(cheapest);
         if chosen.is_none() && query.may_force {
             forced = true;
             chosen = candidates.iter().min_by_key(|endpoint| {
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -15,6 +15,7 @@
 
 use compact_str::CompactString;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::gateway::endpoint::Endpoint;
 use crate::gateway::endpoint::EndpointTable;
@@ -45,6 +46,7 @@
 pub use crate::gateway::schedule::run::RunNumber;
 pub use crate::gateway::schedule::run::RunOutcome;
 pub use crate::gateway::schedule::run::Start;
+pub use crate::gateway::schedule::run::may_start;
 use crate::gateway::weights::ModelDemand;
 use crate::id::EndpointId;
 use crate::id::InstanceId;
@@ -296,10 +298,15 @@
         let mut packing = self.packing(moment.endpoints, fleet);
         for active in self.jobs.values_mut() {
             let order = std::mem::take(&mut active.order);
+            // Pools without an engine for the batch job: none of its items finds one there now.
+            let mut exhausted: IndexSet<PoolId> = IndexSet::new();
             for id in &order {
                 let Some(due) = active.due(id, moment) else {
                     continue;
                 };
+                if exhausted.contains(due.pool) {
+                    continue;
+                }
                 let head = &active.head;
                 let admits = |endpoint: &Endpoint| accepts(endpoint, head, due.exact_version);
                 let long_of = active.long_item(id, fleet.usual_pace(due.pool));
@@ -322,6 +329,9 @@
                 let (now, endpoints) = (moment.now, moment.endpoints);
                 let chosen = fleet.choose(now, endpoints, &query, &idle_connections, admits);
                 let Some((endpoint, reason)) = chosen else {
+                    if due.exact_version.is_none() {
+                        exhausted.insert(due.pool.clone());
+                    }
                     continue;
                 };
                 self.last_run += 1;
--- a/wisteriaford_core/src/gateway/schedule/run.rs
+++ b/wisteriaford_core/src/gateway/schedule/run.rs
@@ -14,6 +14,19 @@
 use crate::id::Version;
 use crate::time::Timestamp;
 
+/// Age of the fold of batch jobs from which no item starts by it.
+///
+/// The end of a batch job must be known at its holder within 3 s of its acknowledgement.
+const MAX_FOLD_AGE: Duration = Duration::from_secs(2);
+
+/// Returns whether items may start by a fold of batch jobs of such an age.
+///
+/// While the log answers nobody, no end of a batch job is acknowledged either, and items go on.
+#[must_use]
+pub fn may_start(fold_age: Duration, log_answers: bool) -> bool {
+    !log_answers || fold_age <= MAX_FOLD_AGE
+}
+
 /// Number of a run of an item, unique within this instance.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RunNumber(pub u64);
--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::id::EndpointId;
 use crate::id::ModelId;
@@ -328,8 +329,8 @@
     }
 
     fn forget_gone(&mut self, views: &[EngineView]) {
-        self.engines
-            .retain(|endpoint, _| views.iter().any(|view| view.endpoint == *endpoint));
+        let known: IndexSet<&EndpointId> = views.iter().map(|view| &view.endpoint).collect();
+        self.engines.retain(|endpoint, _| known.contains(endpoint));
         for view in views {
             let engine = self.engines.entry(view.endpoint.clone()).or_default();
             if engine.started_unix_ms != view.started_unix_ms {
--- a/wisteriaford_core/tests/gateway_endpoint.rs
+++ b/wisteriaford_core/tests/gateway_endpoint.rs
@@ -40,6 +40,25 @@
     assert_eq!(table.len(), 1);
 }
 
+/// Pattern: thousands of endpoints repeat their entry every second, and every instance reads them all.
+#[test]
+fn an_entry_that_says_nothing_new_is_known() {
+    let mut table = EndpointTable::default();
+    table.insert(endpoint("e", "a", 4));
+    let mut leaving = endpoint("e", "a", 4);
+    leaving.leaving = true;
+
+    assert!(table.knows(&endpoint("e", "a", 4)));
+    assert!(!table.knows(&leaving));
+    assert!(!table.knows(&endpoint("f", "a", 4)));
+
+    table.remove(&"e".into(), Some(at(2_000)));
+
+    assert!(!table.knows(&endpoint("e", "a", 4)));
+    assert!(!table.has_expired(at(1_999)));
+    assert!(table.has_expired(at(2_000)));
+}
+
 #[test]
 fn a_removal_without_an_outage_counts_at_once() {
     let mut table = EndpointTable::default();
--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -4,10 +4,12 @@
 #[path = "fixtures/gateway.rs"]
 mod fixtures;
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexSet;
+use rstest::rstest;
 use wisteriaford_core::gateway::endpoint::EndpointTable;
 use wisteriaford_core::gateway::fleet::Fleet;
 use wisteriaford_core::gateway::job::ItemSpec;
@@ -22,6 +24,7 @@
 use wisteriaford_core::gateway::schedule::RunOutcome;
 use wisteriaford_core::gateway::schedule::Schedule;
 use wisteriaford_core::gateway::schedule::Start;
+use wisteriaford_core::gateway::schedule::may_start;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::JobId;
 use wisteriaford_core::id::ModelId;
@@ -142,6 +145,41 @@
     assert_eq!(world.schedule.waiting(), 3);
 }
 
+/// Pattern: a holder without the processor time to keep up reads the end of a batch job too late.
+#[rstest]
+#[case::in_time(500, true, true)]
+#[case::behind(2_500, true, false)]
+#[case::outage_for_everyone(9_000, false, true)]
+fn items_start_only_by_a_fresh_fold(
+    #[case] fold_age_ms: u64,
+    #[case] log_answers: bool,
+    #[case] expected: bool,
+) {
+    assert_eq!(
+        may_start(Duration::from_millis(fold_age_ms), log_answers),
+        expected
+    );
+}
+
+/// Pattern: thousands of engines, none of which has the version yet, and hundreds of items that wait.
+#[test]
+fn a_pool_without_engines_is_looked_at_once() {
+    let names = ["a", "b", "c", "d"];
+    let mut world = World::new(&names, 4);
+    let items = (0..100).map(|n| item(&format!("i{n}"), "g", 100)).collect();
+    world.open(&job("j", items));
+
+    let looks = Cell::new(0);
+    let starts = world.starts_where(at(0), |_| {
+        looks.set(looks.get() + 1);
+        false
+    });
+
+    assert!(starts.is_empty());
+    assert_eq!(looks.get(), names.len());
+    assert_eq!(world.schedule.waiting(), 100);
+}
+
 #[test]
 fn items_of_a_group_go_to_the_engine_that_read_their_prompt() {
     let mut world = World::new(&["e", "f"], 8);
--- a/wisteriaford_gateway/src/connection_pool.rs
+++ b/wisteriaford_gateway/src/connection_pool.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use indexmap::Equivalent;
 use indexmap::IndexMap;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
@@ -85,6 +86,16 @@
     until: Timestamp,
 }
 
+/// Name and address of a peer, to look it up without a copy of its name.
+#[derive(Hash)]
+struct PeerRef<'a>(&'a str, SocketAddr);
+
+impl Equivalent<(String, SocketAddr)> for PeerRef<'_> {
+    fn equivalent(&self, key: &(String, SocketAddr)) -> bool {
+        self.0 == key.0 && self.1 == key.1
+    }
+}
+
 /// Idle connections by peer.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
@@ -137,7 +148,7 @@
     pub(crate) fn idle_count(&self, peer: &str, address: SocketAddr) -> usize {
         let now = clock::now();
         let idle = self.lock();
-        let list = idle.get(&(peer.to_owned(), address));
+        let list = idle.get(&PeerRef(peer, address));
         list.map_or(0, |list| list.iter().filter(|i| is_usable(i, now)).count())
     }
 
@@ -153,7 +164,7 @@
     fn take(&self, peer: &str, address: SocketAddr) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.lock();
-        let list = idle.get_mut(&(peer.to_owned(), address))?;
+        let list = idle.get_mut(&PeerRef(peer, address))?;
         list.retain(|idle| is_usable(idle, now));
         list.pop().map(|idle| idle.connection)
     }
--- a/wisteriaford_gateway/src/directory.rs
+++ b/wisteriaford_gateway/src/directory.rs
@@ -135,6 +135,10 @@
     }
 
     fn put(&self, endpoint: Endpoint, offset: Offset) {
+        // A copy of the table for every heartbeat of every endpoint would grow with their square.
+        if self.gateway.view.load().endpoints.knows(&endpoint) {
+            return;
+        }
         let id = endpoint.id.clone();
         let pool = endpoint.pool.clone();
         let mut table = (*self.gateway.view.load().endpoints).clone();
@@ -219,11 +223,12 @@
         if self.back_since.is_some() && self.lapse_until().is_none() {
             self.back_since = None;
         }
-        let mut table = (*self.gateway.view.load().endpoints).clone();
-        let gone = table.expire_lapsed(clock::now());
-        if gone.is_empty() {
+        let table = Arc::clone(&self.gateway.view.load().endpoints);
+        if !table.has_expired(clock::now()) {
             return;
         }
+        let mut table = (*table).clone();
+        let gone = table.expire_lapsed(clock::now());
         self.publish(table);
         for id in gone {
             log::info!(endpoint:% = id; "endpoint's lapsed entry did not come back");
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -20,9 +21,11 @@
 use wisteriaford_core::gateway::schedule::RunNumber;
 use wisteriaford_core::gateway::schedule::RunOutcome;
 use wisteriaford_core::gateway::schedule::Start;
+use wisteriaford_core::gateway::schedule::may_start;
 use wisteriaford_core::id::JobId;
 use wisteriaford_core::id::Version;
 
+use crate::border::Topic;
 use crate::client::CallError;
 use crate::client::OpenAnswer;
 use crate::clock;
@@ -89,6 +92,9 @@
         );
         gateway.outbox.push(finished);
     }
+    if !opening.may_start(gateway) {
+        return true;
+    }
     let moved = {
         let view = gateway.view.load();
         let mut schedule = gateway.schedule();
@@ -151,6 +157,8 @@
 struct Opening {
     jobs: Arc<Mutex<IndexSet<JobId>>>,
     restored: Arc<AtomicU8>,
+    /// The fold of batch jobs is too old to start items by.
+    is_behind: Arc<AtomicBool>,
 }
 
 impl Opening {
@@ -162,6 +170,20 @@
         lock(&self.jobs).swap_remove(job);
     }
 
+    /// Returns whether the fold of batch jobs is fresh enough to start items.
+    fn may_start(&self, gateway: &Gateway) -> bool {
+        let freshness = gateway.freshness(Topic::Jobs);
+        let age = clock::now().since(freshness.as_of());
+        let may_start = may_start(age, freshness.is_answered());
+        if self.is_behind.swap(!may_start, Ordering::AcqRel) == may_start {
+            log::warn!(
+                fold_age_ms = age.as_millis(), may_start = may_start;
+                "batch jobs are read too late to start items, or in time again"
+            );
+        }
+        may_start
+    }
+
     /// Returns whether saved output was read; has it read if not.
     fn is_restored(&self, gateway: &Arc<Gateway>) -> bool {
         let begun = self.restored.compare_exchange(
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -87,6 +87,11 @@
         self.as_of_us.fetch_max(as_of.0, Ordering::AcqRel);
     }
 
+    /// Returns whether the last read of the topic was answered.
+    pub(crate) fn is_answered(&self) -> bool {
+        !self.failing.load(Ordering::Acquire)
+    }
+
     /// Returns when the log last answered a read of the topic.
     pub(crate) fn answered(&self) -> Timestamp {
         Timestamp(self.answered_us.load(Ordering::Acquire))
