Choose engines for items from a shortlist

Cause: each of some hundred items of a step looked at all engines, with ten look-ups for each. Before 3,000 engines that held the holder's thread for most of a second; it then saw events late and took engines for slow. A batch job's items now share a list of sound engines that have its version, looked at once, and kept in order of their cost.

--- a/wisteriaford_core/src/gateway/fleet.rs
+++ b/wisteriaford_core/src/gateway/fleet.rs
@@ -3,12 +3,15 @@
 //! Endpoints are judged by what they did for this instance: their pace, failures and refusals.
 //! What they say of themselves only says where they are and whether they leave.
 
+mod shortlist;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::gateway::endpoint::Endpoint;
 use crate::gateway::endpoint::EndpointTable;
+pub use crate::gateway::fleet::shortlist::Shortlist;
 use crate::id::AvailabilityZone;
 use crate::id::EndpointId;
 use crate::id::PoolId;
@@ -334,11 +337,22 @@
         endpoint: &Endpoint,
         costs: &Costs,
         idle_connections: usize,
+    ) -> f64 {
+        let relative_pace = self.relative_pace(now, &endpoint.id);
+        self.cost_at(endpoint, costs, relative_pace, idle_connections)
+    }
+
+    /// Returns the cost of an endpoint whose pace is known.
+    fn cost_at(
+        &self,
+        endpoint: &Endpoint,
+        costs: &Costs,
+        relative_pace: f64,
+        idle_connections: usize,
     ) -> f64 {
         let in_flight = f64::from(self.in_flight(&endpoint.id));
         let slots = f64::from(endpoint.slots.max(1));
-        let mut cost =
-            self.relative_pace(now, &endpoint.id) * (1.0 + costs.full * in_flight / slots);
+        let mut cost = relative_pace * (1.0 + costs.full * in_flight / slots);
         if endpoint.availability_zone != self.availability_zone {
             cost += costs.cross_zone;
         }
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -15,13 +15,13 @@
 
 use compact_str::CompactString;
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use crate::gateway::endpoint::Endpoint;
 use crate::gateway::endpoint::EndpointTable;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::fleet::ITEM_COSTS;
 use crate::gateway::fleet::Query;
+use crate::gateway::fleet::Shortlist;
 use crate::gateway::job::ItemResult;
 use crate::gateway::job::ItemSpec;
 use crate::gateway::job::ItemState;
@@ -298,17 +298,15 @@
         let mut packing = self.packing(moment.endpoints, fleet);
         for active in self.jobs.values_mut() {
             let order = std::mem::take(&mut active.order);
-            // Pools without an engine for the batch job: none of its items finds one there now.
-            let mut exhausted: IndexSet<PoolId> = IndexSet::new();
+            let head = Arc::clone(&active.head);
+            // Engines for the batch job's items; thousands are looked at once, not for each item.
+            let mut shortlists: IndexMap<(&PoolId, Option<Version>), Shortlist<'_>> =
+                IndexMap::new();
             for id in &order {
                 let Some(due) = active.due(id, moment) else {
                     continue;
                 };
-                if exhausted.contains(due.pool) {
-                    continue;
-                }
-                let head = &active.head;
-                let admits = |endpoint: &Endpoint| accepts(endpoint, head, due.exact_version);
+                let admits = |endpoint: &Endpoint| accepts(endpoint, &head, due.exact_version);
                 let long_of = active.long_item(id, fleet.usual_pace(due.pool));
                 let joined = long_of.and_then(|(model, tokens)| {
                     let is_fit = |id: &EndpointId| {
@@ -318,24 +316,24 @@
                     };
                     packing.choose(model, tokens, due.cache_tokens?, is_fit)
                 });
-                let query = Query {
-                    pool: due.pool,
-                    tried: &[],
-                    affinity: joined.as_ref().or(due.affinity.as_ref()),
-                    max_in_flight: due.max_in_flight,
-                    may_force: false,
-                    costs: ITEM_COSTS,
-                };
                 let (now, endpoints) = (moment.now, moment.endpoints);
-                let chosen = fleet.choose(now, endpoints, &query, &idle_connections, admits);
-                let Some((endpoint, reason)) = chosen else {
-                    if due.exact_version.is_none() {
-                        exhausted.insert(due.pool.clone());
-                    }
+                let shortlist = shortlists.entry((due.pool, due.exact_version));
+                let shortlist = shortlist.or_insert_with(|| {
+                    let query = Query {
+                        pool: due.pool,
+                        tried: &[],
+                        affinity: None,
+                        max_in_flight: due.max_in_flight,
+                        may_force: false,
+                        costs: ITEM_COSTS,
+                    };
+                    Shortlist::new(fleet, now, endpoints, &query, &idle_connections, admits)
+                });
+                let preferred = joined.as_ref().or(due.affinity.as_ref());
+                let Some((endpoint, reason)) = shortlist.choose(fleet, preferred) else {
                     continue;
                 };
                 self.last_run += 1;
-                fleet.started(&endpoint.id);
                 if let Some((model, tokens)) = long_of {
                     packing.add(model, &endpoint.id, tokens);
                 }
--- a/wisteriaford_core/tests/gateway_fleet.rs
+++ b/wisteriaford_core/tests/gateway_fleet.rs
@@ -6,11 +6,16 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use rstest::rstest;
 use wisteriaford_core::gateway::endpoint::EndpointTable;
 use wisteriaford_core::gateway::fleet::CALL_COSTS;
 use wisteriaford_core::gateway::fleet::Fleet;
 use wisteriaford_core::gateway::fleet::ITEM_COSTS;
 use wisteriaford_core::gateway::fleet::Query;
+use wisteriaford_core::gateway::fleet::Shortlist;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::PoolId;
 use wisteriaford_core::time::Timestamp;
@@ -185,3 +190,59 @@
     assert!(during > 2.5, "{during}");
     assert!(later < 1.2, "{later}");
 }
+
+/// Endpoints with paces and requests in progress that a seed decides.
+fn busy_pool(seed: u64) -> (EndpointTable, Fleet) {
+    let mut random = Pcg32::seed_from_u64(seed);
+    let names: Vec<String> = (0..12).map(|number| format!("e{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut fleet = fleet();
+    let paces: Vec<(&str, u64)> = names
+        .iter()
+        .map(|name| (*name, random.random_range(40..90)))
+        .collect();
+    observe(&mut fleet, &paces);
+    for name in &names {
+        for _ in 0..random.random_range(0..8) {
+            fleet.started(&(*name).into());
+        }
+    }
+    fleet.note_unreachable(at(1_990), &"e3".into());
+    (endpoints(&names, 8), fleet)
+}
+
+/// Pattern: hundreds of items of a step start before thousands of engines.
+#[rstest]
+fn a_shortlist_chooses_as_looking_at_all_does(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let (table, mut one_by_one) = busy_pool(seed);
+    let mut listed = one_by_one.clone();
+    let pool = "engines".into();
+    let cached = EndpointId::from("e5");
+    let now = at(2_000);
+    let mut asked = query(&pool, &[]);
+    asked.costs = ITEM_COSTS;
+    asked.may_force = false;
+    asked.max_in_flight = Some(8);
+    let mut shortlist = Shortlist::new(
+        &listed,
+        now,
+        &table,
+        &asked,
+        |_| 100,
+        |e| e.id != "e7".into(),
+    );
+
+    for number in 0..100 {
+        asked.affinity = (number % 3 == 0).then_some(&cached);
+        let expected = one_by_one.choose(now, &table, &asked, |_| 100, |e| e.id != "e7".into());
+        let chosen = shortlist.choose(&mut listed, asked.affinity);
+
+        let expected = expected.map(|(endpoint, _)| endpoint.id.clone());
+        assert_eq!(chosen.map(|(endpoint, _)| endpoint.id.clone()), expected);
+        if let Some(id) = expected {
+            one_by_one.started(&id);
+        }
+    }
+    // Both ran out of slots.
+    assert!(shortlist.choose(&mut listed, None).is_none());
+}
