--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -7,8 +7,8 @@
 //!
 //! A step takes the newest version and the one before it, so not every engine needs every version.
 //! Engines are loaded at once while those that the next step can use are too few for its items,
-//! and otherwise when they have nothing to do for the model. Engines beyond what the items need
-//! follow once a version has been the newest for a while.
+//! and otherwise when no item of the model waits and they run no long one. Engines beyond what the
+//! items need follow once a version has been the newest for a while.
 
 mod candidates;
 
