--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -328,6 +328,45 @@
 }
 
 /// Pattern: a trainer ends a step at 90 % of its groups, and the others come again in the next.
+/// Pattern: a trainer asks for its next step before it has the one before; both are open at once.
+#[test]
+fn a_step_asked_ahead_takes_only_engines_of_its_version() {
+    let mut world = World::new(&["old", "new"], 2);
+    let mut ahead = job("j2", vec![item("b1", "g2", 100), item("b2", "g2", 100)]);
+    ahead.head.min_version = Version(2);
+    world.open(&job(
+        "j1",
+        vec![item("a1", "g1", 100), item("a2", "g1", 100)],
+    ));
+    world.open(&ahead);
+    let moment = Moment {
+        now: at(0),
+        unix_ms: SUBMITTED_UNIX_MS + 1_000,
+        routes: &world.routes,
+        endpoints: &world.endpoints,
+    };
+
+    let starts = world.schedule.next_starts(
+        &moment,
+        &mut world.fleet,
+        |_| 1,
+        |endpoint, head, _| head.min_version < Version(2) || endpoint.id.as_str() == "new",
+    );
+
+    let ahead: Vec<&Start> = starts
+        .iter()
+        .filter(|start| start.job.id.as_str() == "j2")
+        .collect();
+    let others = starts.len() - ahead.len();
+    assert_eq!(others, 2);
+    assert!(!ahead.is_empty());
+    assert!(
+        ahead
+            .iter()
+            .all(|start| start.endpoint.id.as_str() == "new")
+    );
+}
+
 #[test]
 fn output_of_a_carried_item_is_used_again() {
     let mut world = World::new(&["e"], 4);
