Share what tests of processes need, and the filter of both ways to choose

Read again, three things stood twice: free ports and a process's memory in the tests of the adapter and in wisteriaford_bench (now in wisteriaford_standins), and the filter of endpoints in Fleet::choose and Shortlist. Whether a long item may join others is asked of the shortlist, which knows that already, in place of looking the engine up and asking for its version once more; an engine of another pool is no longer proposed first. A run is put together where its item is marked.

--- a/wisteriaford_bench/src/processes.rs
+++ b/wisteriaford_bench/src/processes.rs
@@ -4,7 +4,6 @@
 pub mod error;
 pub mod fleet;
 pub mod http;
-pub mod port;
 pub mod process;
 pub mod standin;
 pub mod tool;
--- a/wisteriaford_bench/src/processes/daemon.rs
+++ b/wisteriaford_bench/src/processes/daemon.rs
@@ -5,10 +5,11 @@
 
 use wisteriaford_client::client::Client;
 use wisteriaford_client::message::StatusAnswer;
+use wisteriaford_standins::free_address;
 
+use crate::processes::error::ProcessError;
 use crate::processes::error::Result;
 use crate::processes::http;
-use crate::processes::port;
 use crate::processes::process::Process;
 use crate::processes::process::Signal;
 use crate::processes::wait::wait_until;
@@ -80,7 +81,8 @@
     ///
     /// Fails if no port is free.
     pub fn free_addresses() -> Result<(SocketAddr, SocketAddr)> {
-        Ok((port::free_address()?, port::free_address()?))
+        let free = || free_address().ok_or(ProcessError::NoPort);
+        Ok((free()?, free()?))
     }
 
     /// Starts a daemon and waits until it answers; it needs not be ready.
--- a/wisteriaford_bench/src/processes/process.rs
+++ b/wisteriaford_bench/src/processes/process.rs
@@ -18,6 +18,8 @@
 use std::thread;
 use std::time::Duration;
 
+use wisteriaford_standins::resident_kb;
+
 use crate::processes::error::ProcessError;
 use crate::processes::error::Result;
 use crate::processes::wait::wait_until;
@@ -98,13 +100,7 @@
     ///
     /// Fails if the process has ended.
     pub fn resident_kb(&self) -> Result<u64> {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(path);
-        let status = status.map_err(|source| system_error(&self.name, source))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let size = line.and_then(|line| line.split_whitespace().next());
-        let size = size.and_then(|digits| digits.parse().ok());
-        size.ok_or_else(|| system_error(&self.name, std::io::ErrorKind::InvalidData.into()))
+        resident_kb(self.child.id()).map_err(|source| system_error(&self.name, source))
     }
 
     /// Signals the process.
--- a/wisteriaford_bench/src/processes/standin.rs
+++ b/wisteriaford_bench/src/processes/standin.rs
@@ -5,10 +5,11 @@
 
 use serde_json::Value;
 use wisteriaford_standins::FaultChange;
+use wisteriaford_standins::free_address;
 
+use crate::processes::error::ProcessError;
 use crate::processes::error::Result;
 use crate::processes::http;
-use crate::processes::port;
 use crate::processes::process::Process;
 use crate::processes::wait::wait_until;
 
@@ -33,7 +34,7 @@
     /// Fails if it does not start.
     pub fn start(name: &str, kind: &str, arguments: &[&str]) -> Result<Self> {
         let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
-        let address = port::free_address()?;
+        let address = free_address().ok_or(ProcessError::NoPort)?;
         let process = launch(name, kind, &arguments, address)?;
         Ok(Self {
             name: name.to_owned(),
--- a/wisteriaford_core/src/gateway/fleet.rs
+++ b/wisteriaford_core/src/gateway/fleet.rs
@@ -286,13 +286,7 @@
         idle_connections: impl Fn(&EndpointId) -> usize,
         accepts: impl Fn(&Endpoint) -> bool,
     ) -> Option<(&'a Endpoint, ChoiceReason)> {
-        let candidates: Vec<&Endpoint> = table
-            .iter()
-            .filter(|endpoint| endpoint.pool == *query.pool && !endpoint.leaving)
-            .filter(|endpoint| self.has_room(endpoint, query))
-            .filter(|endpoint| !query.tried.contains(&endpoint.id))
-            .filter(|endpoint| accepts(endpoint))
-            .collect();
+        let candidates: Vec<&Endpoint> = self.candidates(table, query, accepts).collect();
         let is_sound = |endpoint: &&&Endpoint| self.is_sound(now, &endpoint.id);
         let cached = query.affinity.and_then(|cached| {
             let cached = candidates.iter().filter(is_sound).find(|e| e.id == *cached);
@@ -326,6 +320,21 @@
         Some((endpoint, reason))
     }
 
+    /// Returns the endpoints that could serve a request, those that are left out included.
+    fn candidates<'a>(
+        &self,
+        table: &'a EndpointTable,
+        query: &Query<'_>,
+        accepts: impl Fn(&Endpoint) -> bool,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        table
+            .iter()
+            .filter(|endpoint| endpoint.pool == *query.pool && !endpoint.leaving)
+            .filter(|endpoint| self.has_room(endpoint, query))
+            .filter(|endpoint| !query.tried.contains(&endpoint.id))
+            .filter(move |endpoint| accepts(endpoint))
+    }
+
     fn has_room(&self, endpoint: &Endpoint, query: &Query<'_>) -> bool {
         let max = query.max_in_flight;
         max.is_none_or(|max| self.in_flight(&endpoint.id) < max)
--- a/wisteriaford_core/src/gateway/fleet/shortlist.rs
+++ b/wisteriaford_core/src/gateway/fleet/shortlist.rs
@@ -66,13 +66,9 @@
         idle_connections: impl Fn(&EndpointId) -> usize,
         accepts: impl Fn(&Endpoint) -> bool,
     ) -> Self {
-        let entries: IndexMap<_, _> = table
-            .iter()
-            .filter(|endpoint| endpoint.pool == *query.pool && !endpoint.leaving)
-            .filter(|endpoint| fleet.has_room(endpoint, query))
-            .filter(|endpoint| !query.tried.contains(&endpoint.id))
+        let entries: IndexMap<_, _> = fleet
+            .candidates(table, query, accepts)
             .filter(|endpoint| fleet.is_sound(now, &endpoint.id))
-            .filter(|endpoint| accepts(endpoint))
             .map(|endpoint| {
                 let mut entry = Entry {
                     endpoint,
@@ -119,6 +115,14 @@
         Some((endpoint, reason))
     }
 
+    /// Returns whether an endpoint is listed, has a free slot, and is as fast as `max_pace`.
+    #[must_use]
+    pub fn fits(&self, fleet: &Fleet, id: &EndpointId, max_pace: f64) -> bool {
+        self.entries.get(id).is_some_and(|entry| {
+            entry.relative_pace <= max_pace && fleet.in_flight(id) < entry.endpoint.slots
+        })
+    }
+
     fn preferred(&self, fleet: &Fleet, id: &EndpointId) -> Option<usize> {
         let place = self.entries.get_index_of(id)?;
         let is_fast = self.entries[place].relative_pace < MAX_AFFINITY_PACE;
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -19,8 +19,6 @@
 use crate::gateway::endpoint::Endpoint;
 use crate::gateway::endpoint::EndpointTable;
 use crate::gateway::fleet::Fleet;
-use crate::gateway::fleet::ITEM_COSTS;
-use crate::gateway::fleet::Query;
 use crate::gateway::fleet::Shortlist;
 use crate::gateway::job::ItemResult;
 use crate::gateway::job::ItemSpec;
@@ -306,55 +304,34 @@
                 let Some(due) = active.due(id, moment) else {
                     continue;
                 };
-                let admits = |endpoint: &Endpoint| accepts(endpoint, &head, due.exact_version);
+                let shortlist = shortlists.entry((due.pool, due.exact_version));
+                let shortlist = shortlist.or_insert_with(|| {
+                    let admits = |endpoint: &Endpoint| accepts(endpoint, &head, due.exact_version);
+                    let (now, endpoints) = (moment.now, moment.endpoints);
+                    Shortlist::new(
+                        fleet,
+                        now,
+                        endpoints,
+                        &due.query(),
+                        &idle_connections,
+                        admits,
+                    )
+                });
                 let long_of = active.long_item(id, fleet.usual_pace(due.pool));
                 let joined = long_of.and_then(|(model, tokens)| {
-                    let is_fit = |id: &EndpointId| {
-                        let endpoint = moment.endpoints.get(id);
-                        endpoint.is_some_and(|endpoint| is_fit_to_join(moment.now, endpoint, fleet))
-                            && endpoint.is_some_and(admits)
-                    };
+                    let is_fit = |id: &EndpointId| shortlist.fits(fleet, id, SOUND_PACE);
                     packing.choose(model, tokens, due.cache_tokens?, is_fit)
                 });
-                let (now, endpoints) = (moment.now, moment.endpoints);
-                let shortlist = shortlists.entry((due.pool, due.exact_version));
-                let shortlist = shortlist.or_insert_with(|| {
-                    let query = Query {
-                        pool: due.pool,
-                        tried: &[],
-                        affinity: None,
-                        max_in_flight: due.max_in_flight,
-                        may_force: false,
-                        costs: ITEM_COSTS,
-                    };
-                    Shortlist::new(fleet, now, endpoints, &query, &idle_connections, admits)
-                });
                 let preferred = joined.as_ref().or(due.affinity.as_ref());
                 let Some((endpoint, reason)) = shortlist.choose(fleet, preferred) else {
                     continue;
                 };
-                self.last_run += 1;
                 if let Some((model, tokens)) = long_of {
                     packing.add(model, &endpoint.id, tokens);
                 }
+                self.last_run += 1;
                 let run = RunNumber(self.last_run);
-                let (exact_version, priority) = (due.exact_version, due.priority);
-                let time_left = due.time_left;
-                let Some((item, after_event)) = active.start(id, run, &endpoint.id, now) else {
-                    continue;
-                };
-                starts.push(Start {
-                    job: Arc::clone(&active.head),
-                    item,
-                    run,
-                    endpoint: endpoint.clone(),
-                    after_event,
-                    min_version: active.head.min_version,
-                    exact_version,
-                    time_left,
-                    priority,
-                    reason,
-                });
+                starts.extend(active.start(id, &due, run, endpoint, reason, moment.now));
             }
             active.order = order;
         }
@@ -546,13 +523,6 @@
     fleet.usual_pace(pool)
 }
 
-/// Returns whether an engine is sound, as fast as others, and has a free slot.
-fn is_fit_to_join(now: Timestamp, endpoint: &Endpoint, fleet: &Fleet) -> bool {
-    fleet.is_sound(now, &endpoint.id)
-        && fleet.relative_pace(now, &endpoint.id) <= SOUND_PACE
-        && fleet.in_flight(&endpoint.id) < endpoint.slots
-}
-
 /// Returns the free slots of engines that aren't slow, by pool.
 fn free_sound_slots(
     now: Timestamp,
--- a/wisteriaford_core/src/gateway/schedule/active.rs
+++ b/wisteriaford_core/src/gateway/schedule/active.rs
@@ -5,6 +5,10 @@
 
 use indexmap::IndexMap;
 
+use crate::gateway::endpoint::Endpoint;
+use crate::gateway::fleet::ChoiceReason;
+use crate::gateway::fleet::ITEM_COSTS;
+use crate::gateway::fleet::Query;
 use crate::gateway::job::ItemResult;
 use crate::gateway::job::ItemSpec;
 use crate::gateway::job::ItemState;
@@ -123,25 +127,52 @@
         Some((model, item.spec.tokens))
     }
 
-    /// Marks an item as running; returns it with the event after which it goes on.
+    /// Marks an item as running, and returns its run.
     pub(super) fn start(
         &mut self,
         id: &ItemId,
+        due: &Due<'_>,
         run: RunNumber,
-        endpoint: &EndpointId,
+        endpoint: &Endpoint,
+        reason: ChoiceReason,
         now: Timestamp,
-    ) -> Option<(Arc<ItemSpec>, Option<u64>)> {
+    ) -> Option<Start> {
         let item = self.items.get_mut(id)?;
         item.phase = ItemPhase::Running {
             run,
-            endpoint: endpoint.clone(),
+            endpoint: endpoint.id.clone(),
             since: now,
         };
         if let Some(group) = &item.spec.group {
             let kept = self.group_endpoints.entry(group.clone());
-            kept.or_insert_with(|| endpoint.clone());
+            kept.or_insert_with(|| endpoint.id.clone());
+        }
+        Some(Start {
+            job: Arc::clone(&self.head),
+            item: Arc::clone(&item.spec),
+            run,
+            endpoint: endpoint.clone(),
+            after_event: item.progress.last_event,
+            min_version: self.head.min_version,
+            exact_version: due.exact_version,
+            time_left: due.time_left,
+            priority: due.priority,
+            reason,
+        })
+    }
+}
+
+impl<'a> Due<'a> {
+    /// Returns what to look for among the engines; an engine that is left out isn't forced.
+    pub(super) fn query(&self) -> Query<'a> {
+        Query {
+            pool: self.pool,
+            tried: &[],
+            affinity: None,
+            max_in_flight: self.max_in_flight,
+            may_force: false,
+            costs: ITEM_COSTS,
         }
-        Some((Arc::clone(&item.spec), item.progress.last_event))
     }
 }
 
--- a/wisteriaford_standins/src/lib.rs
+++ b/wisteriaford_standins/src/lib.rs
@@ -22,6 +22,8 @@
 
 mod connection;
 mod lagged;
+mod memory;
+mod port;
 mod rate;
 
 pub use engine::EngineSettings;
@@ -29,11 +31,13 @@
 pub use faults::FaultSettings;
 pub use instance_list::InstanceListSettings;
 pub use log_service::LogSettings;
+pub use memory::resident_kb;
 pub use plain_service::PlainServiceSettings;
 pub use platform::Platform;
 pub use platform::PlatformSettings;
 pub use platform_endpoint::PlatformEndpointSettings;
 pub use platform_store::PlatformStoreSettings;
+pub use port::free_address;
 pub use proxy::Direction;
 pub use proxy::SilentProxy;
 pub use scorer::ScorerSettings;
