Divide two long test files, and share what their tests repeat

The result of a run's end and the rounds in which engines are loaded were written out in several tests. A doc comment that had slipped from one test to the next is back in its place. Assertions are the same, compared one by one; the tests of these files and of wisteriaford_fakes pass.

--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -1,109 +1,45 @@
-//! Which items start, move and end, and what becomes of their output.
+//! Which items start and end, and what becomes of their output.
 
 #[allow(dead_code, unused_imports)]
 #[path = "fixtures/gateway.rs"]
 mod fixtures;
+#[allow(dead_code)]
+#[path = "fixtures/schedule.rs"]
+mod schedule;
 
 use std::cell::Cell;
-use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexSet;
 use rstest::rstest;
-use wisteriaford_core::gateway::endpoint::EndpointTable;
-use wisteriaford_core::gateway::fleet::Fleet;
-use wisteriaford_core::gateway::job::ItemSpec;
 use wisteriaford_core::gateway::job::ItemState;
-use wisteriaford_core::gateway::job::JobSpec;
-use wisteriaford_core::gateway::job_fold::JobFold;
 use wisteriaford_core::gateway::route::RouteKind;
 use wisteriaford_core::gateway::route::RouteTable;
+use wisteriaford_core::gateway::schedule::Finished;
 use wisteriaford_core::gateway::schedule::Moment;
 use wisteriaford_core::gateway::schedule::ProgressPart;
 use wisteriaford_core::gateway::schedule::RunEnd;
 use wisteriaford_core::gateway::schedule::RunOutcome;
-use wisteriaford_core::gateway::schedule::Schedule;
 use wisteriaford_core::gateway::schedule::Start;
 use wisteriaford_core::gateway::schedule::may_start;
-use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::JobId;
-use wisteriaford_core::id::ModelId;
 use wisteriaford_core::id::Version;
-use wisteriaford_core::time::Timestamp;
 
 use crate::fixtures::SUBMITTED_UNIX_MS;
 use crate::fixtures::accepted;
 use crate::fixtures::at;
-use crate::fixtures::batch_table;
-use crate::fixtures::endpoints;
 use crate::fixtures::fold;
 use crate::fixtures::item;
 use crate::fixtures::job;
 use crate::fixtures::listed;
 use crate::fixtures::route;
 use crate::fixtures::table;
+use crate::schedule::World;
 
-/// Schedule with what it decides by.
-struct World {
-    schedule: Schedule,
-    fleet: Fleet,
-    routes: RouteTable,
-    endpoints: EndpointTable,
-}
-
-impl World {
-    fn new(engines: &[&str], slots: u32) -> Self {
-        Self {
-            schedule: Schedule::default(),
-            fleet: Fleet::new("a".into()),
-            routes: batch_table(slots),
-            endpoints: endpoints(engines, slots),
-        }
-    }
-
-    fn open(&mut self, spec: &JobSpec) {
-        self.open_folded(spec, &fold(&[accepted(spec, "u")]));
-    }
-
-    fn open_folded(&mut self, spec: &JobSpec, fold: &JobFold) {
-        let folded = fold.get(&spec.head.id).expect("an accepted batch job");
-        self.schedule.open(folded, &spec.items);
-    }
-
-    fn starts(&mut self, now: Timestamp) -> Vec<Start> {
-        self.starts_where(now, |_| true)
-    }
-
-    fn starts_where(&mut self, now: Timestamp, accepts: impl Fn(&str) -> bool) -> Vec<Start> {
-        let moment = Moment {
-            now,
-            unix_ms: SUBMITTED_UNIX_MS + 1_000,
-            routes: &self.routes,
-            endpoints: &self.endpoints,
-        };
-        self.schedule.next_starts(
-            &moment,
-            &mut self.fleet,
-            |_| 1,
-            |endpoint, _, _| accepts(endpoint.id.as_str()),
-        )
-    }
-
-    fn end(&mut self, now: Timestamp, start: &Start, outcome: RunOutcome) -> RunEnd {
-        self.fleet.ended(&start.endpoint.id);
-        self.schedule.ended(now, start, outcome, 3)
-    }
-
-    /// Lets engines work at their paces for a second.
-    fn observe(&mut self, paces: &[(&str, u64)]) {
-        for step in 0..100 {
-            for (name, millis) in paces {
-                let taken = Duration::from_millis(*millis);
-                let now = at(1_000 + step * 10);
-                self.fleet
-                    .note_pace(now, &"engines".into(), &(*name).into(), taken);
-            }
-        }
+/// Returns the result that a run's end led to.
+fn finished(end: &RunEnd) -> &Finished {
+    match end {
+        RunEnd::Finished(finished) => finished,
+        end => panic!("not finished: {end:?}"),
     }
 }
 
@@ -227,9 +163,7 @@
     let end = world.end(at(300), &second, RunOutcome::Completed);
 
     assert_eq!(second.after_event, Some(2));
-    let RunEnd::Finished(finished) = end else {
-        panic!("not finished: {end:?}");
-    };
+    let finished = finished(&end);
     assert_eq!(finished.result.text, "one\ntwo\nthree");
     assert_eq!(finished.result.versions, [Version(1), Version(2)]);
 }
@@ -264,9 +198,7 @@
 
     assert_eq!(ends[0], RunEnd::Waits { failures: 1 });
     assert_eq!(ends[1], RunEnd::Waits { failures: 2 });
-    let RunEnd::Finished(finished) = &ends[2] else {
-        panic!("not finished: {:?}", ends[2]);
-    };
+    let finished = finished(&ends[2]);
     assert_eq!(finished.result.state, ItemState::Abandoned);
 }
 
@@ -327,7 +259,6 @@
     assert_eq!(world.schedule.waiting(), 1);
 }
 
-/// Pattern: a trainer ends a step at 90 % of its groups, and the others come again in the next.
 /// Pattern: a trainer asks for its next step before it has the one before; both are open at once.
 #[test]
 fn a_step_asked_ahead_takes_only_engines_of_its_version() {
@@ -367,6 +298,7 @@
     );
 }
 
+/// Pattern: a trainer ends a step at 90 % of its groups, and the others come again in the next.
 #[test]
 fn output_of_a_carried_item_is_used_again() {
     let mut world = World::new(&["e"], 4);
@@ -428,9 +360,7 @@
     let end = other.end(at(10), &again, RunOutcome::Completed);
 
     assert_eq!(again.after_event, Some(5));
-    let RunEnd::Finished(finished) = end else {
-        panic!("not finished: {end:?}");
-    };
+    let finished = finished(&end);
     assert_eq!(finished.result.text.lines().count(), 6);
     assert_eq!(finished.result.versions, [Version(1), Version(2)]);
 }
@@ -458,9 +388,7 @@
     let end = world.end(at(10), &start, RunOutcome::Completed);
 
     assert_eq!(start.after_event, Some(4));
-    let RunEnd::Finished(finished) = end else {
-        panic!("not finished: {end:?}");
-    };
+    let finished = finished(&end);
     assert_eq!(finished.result.versions, [Version(1)]);
 }
 
@@ -499,143 +427,3 @@
     assert_eq!(first.exact_version, None);
     assert_eq!(again.exact_version, Some(Version(3)));
 }
-
-/// Pattern: engines turn slow for seconds while long items run there.
-#[test]
-fn long_items_leave_a_slow_engine_while_others_have_room() {
-    let mut world = World::new(&["e", "f", "slow"], 1);
-    let items = ["a", "b", "c"].map(|name| item(name, name, 6_000));
-    world.open(&job("j", items.to_vec()));
-    let starts = world.starts(at(500));
-    let on_slow = starts
-        .iter()
-        .find(|s| s.endpoint.id.as_str() == "slow")
-        .cloned();
-    let on_slow = on_slow.expect("an item at the slow engine");
-    world.observe(&[("e", 38), ("f", 38), ("slow", 130)]);
-
-    let (endpoints, fleet) = (&world.endpoints, &world.fleet);
-    let no_room = world.schedule.move_from_slow(at(2_000), endpoints, fleet);
-    world.fleet.ended(&"e".into());
-    let moved = world
-        .schedule
-        .move_from_slow(at(2_000), &world.endpoints, &world.fleet);
-    world.fleet.ended(&"slow".into());
-    let again = world.starts(at(2_010));
-
-    assert!(no_room.is_empty());
-    assert_eq!(moved, [on_slow.run]);
-    assert_eq!(again.len(), 1);
-    assert_eq!(again[0].endpoint.id.as_str(), "e");
-    assert!(Arc::ptr_eq(&again[0].item, &on_slow.item));
-}
-
-#[test]
-fn short_items_stay_where_they_are() {
-    let mut world = World::new(&["e", "f", "slow"], 4);
-    world.open(&job("j", vec![item("a", "g", 58)]));
-    world.starts(at(500));
-    world.observe(&[("e", 38), ("f", 38), ("slow", 130)]);
-
-    let moved = world
-        .schedule
-        .move_from_slow(at(2_000), &world.endpoints, &world.fleet);
-
-    assert!(moved.is_empty());
-}
-
-#[test]
-fn demand_counts_what_waits_and_runs() {
-    let mut world = World::new(&["e"], 2);
-    let items = (0..5).map(|n| item(&format!("i{n}"), "g", 0)).collect();
-    world.open(&job("j", items));
-    world.starts(at(0));
-
-    let demand = world.schedule.demand(&world.endpoints, &world.fleet);
-
-    let model = demand.get(&ModelId::from("m")).expect("the model");
-    assert_eq!((model.items, model.waiting), (5, 3));
-    let running = model.running.get(&EndpointId::from("e"));
-    assert_eq!(running.map(|running| running.items), Some(2));
-}
-
-#[test]
-fn demand_tells_which_engines_run_long_items() {
-    let mut world = World::new(&["e"], 2);
-    world.observe(&[("e", 50)]);
-    world.open(&job("j", vec![item("a", "g", 9_000), item("b", "g", 58)]));
-    world.starts(at(2_000));
-
-    let demand = world.schedule.demand(&world.endpoints, &world.fleet);
-
-    let model = demand.get(&ModelId::from("m")).expect("the model");
-    let running = model.running.get(&EndpointId::from("e"));
-    assert_eq!(
-        running.map(|running| (running.items, running.long_items)),
-        Some((2, 1))
-    );
-}
-
-/// Pattern: one item in ten takes as long as a version lasts, and an engine that runs one can't be
-/// loaded for the next step.
-#[test]
-fn long_items_share_few_engines() {
-    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
-    let mut world = World::new(&names, 8);
-    world.observe(&names.map(|name| (name, 50)));
-    let long = (0..6).map(|n| item(&format!("long{n}"), &format!("g{n}"), 9_000));
-    let short = (0..40).map(|n| item(&format!("short{n}"), &format!("g{}", n % 6), 300));
-    world.open(&job("j", long.chain(short).collect()));
-
-    let starts = world.starts(at(2_000));
-
-    let of = |kind: &str| -> IndexSet<&str> {
-        let of_kind = starts
-            .iter()
-            .filter(|s| s.item.id.as_str().starts_with(kind));
-        of_kind.map(|start| start.endpoint.id.as_str()).collect()
-    };
-    assert_eq!(starts.len(), 46);
-    assert_eq!(of("long").len(), 1);
-    assert!(of("short").len() > 3, "{:?}", of("short"));
-}
-
-#[test]
-fn long_items_leave_memory_for_others() {
-    let names = ["a", "b", "c", "d"];
-    let mut world = World::new(&names, 8);
-    world.observe(&names.map(|name| (name, 50)));
-    let long = (0..8).map(|n| {
-        let spec = item(&format!("long{n}"), &format!("g{n}"), 9_000);
-        Arc::new(ItemSpec {
-            tokens: 20_000,
-            ..ItemSpec::clone(&spec)
-        })
-    });
-    world.open(&job("j", long.collect()));
-
-    let starts = world.starts(at(2_000));
-
-    // An engine has 80,000 tokens, so two items of 20,000 fill half of it, and a third too much.
-    for name in names {
-        let at_engine = starts.iter().filter(|s| s.endpoint.id.as_str() == name);
-        assert_eq!(at_engine.count(), 2, "{name}");
-    }
-}
-
-#[test]
-fn long_items_join_no_slow_engine() {
-    let mut world = World::new(&["e", "f"], 8);
-    world.observe(&[("e", 50), ("f", 50)]);
-    let long = |name: &str| vec![item(name, name, 9_000)];
-    world.open(&job("j1", long("first")));
-    let first = world.starts(at(2_000));
-    let joined = first[0].endpoint.id.clone();
-    let other = if joined.as_str() == "e" { "f" } else { "e" };
-    world.observe(&[(joined.as_str(), 90), (other, 50)]);
-
-    world.open(&job("j2", long("second")));
-    let second = world.starts(at(2_010));
-
-    assert_eq!(second[0].endpoint.id.as_str(), other);
-}
--- a/wisteriaford_core/tests/gateway_weights.rs
+++ b/wisteriaford_core/tests/gateway_weights.rs
@@ -89,6 +89,24 @@
     orders.collect()
 }
 
+/// Lets orders be given every 100 ms that take no time, and returns the engines that had one.
+fn load(
+    plan: &mut WeightPlan,
+    views: &[EngineView],
+    need: &IndexMap<ModelId, ModelDemand>,
+    rounds: u64,
+) -> Vec<EndpointId> {
+    let mut loaded = Vec::new();
+    for round in 1..rounds {
+        let now = at(1_000 + round * 100);
+        for (endpoint, ..) in orders(&plan.next_actions(now, views, need)) {
+            plan.answered(now, &endpoint, OrderOutcome::AlreadyHolds);
+            loaded.push(endpoint);
+        }
+    }
+    loaded
+}
+
 #[test]
 fn engines_are_inspected_before_they_are_ordered() {
     let views = views(2, &["m"]);
@@ -183,14 +201,7 @@
         plan.set_target(at(1_000), &ModelId::from(model), Version(3));
     }
 
-    let mut loaded = Vec::new();
-    for step in 1..60 {
-        let now = at(1_000 + step * 100);
-        for (endpoint, ..) in orders(&plan.next_actions(now, &views, &need)) {
-            plan.answered(now, &endpoint, OrderOutcome::AlreadyHolds);
-            loaded.push(endpoint);
-        }
-    }
+    let loaded = load(&mut plan, &views, &need, 60);
 
     // 80 items want the 100 slots of 10 engines.
     assert_eq!(loaded.len(), 30);
@@ -297,16 +308,7 @@
         plan.set_target(at(1_000), &ModelId::from(model), Version(3));
     }
 
-    let mut loads = 0;
-    for step in 1..90 {
-        let now = at(1_000 + step * 100);
-        for action in plan.next_actions(now, &views, &need) {
-            if let WeightAction::Order { endpoint, .. } = action {
-                loads += 1;
-                plan.answered(now, &endpoint, OrderOutcome::AlreadyHolds);
-            }
-        }
-    }
+    let loads = load(&mut plan, &views, &need, 90).len();
 
     // The models want three times the slots that there are, so each gets a third of the engines.
     assert!((39..=42).contains(&loads), "{loads} loads");
--- a/wisteriaford_fakes/tests/support/world.rs
+++ b/wisteriaford_fakes/tests/support/world.rs
@@ -1,5 +1,8 @@
 //! A fleet under fuzzing, and the oracle that checks what comes out of it.
 
+#[path = "leaving.rs"]
+mod leaving;
+
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -9,13 +12,9 @@
 use wisteriaford_core::event::LogStream;
 use wisteriaford_core::event::Ticket;
 use wisteriaford_core::hash::hash_parts;
-use wisteriaford_core::id::AvailabilityZone;
 use wisteriaford_core::id::InstanceId;
 use wisteriaford_core::id::ModelId;
-use wisteriaford_core::id::Region;
 use wisteriaford_core::id::Version;
-use wisteriaford_core::membership::ListedInstance;
-use wisteriaford_core::membership::ListedState;
 use wisteriaford_core::note::Note;
 use wisteriaford_core::refusal::Outcome;
 use wisteriaford_core::refusal::RefusalReason;
@@ -28,11 +27,12 @@
 use wisteriaford_fakes::expected_text;
 use wisteriaford_fakes::expected_tokens;
 
+use self::leaving::Leaving;
+use self::leaving::Source;
 use super::counts::count;
 use super::setting;
 use super::setting::ENGINES;
 use super::setting::MODEL;
-use super::setting::REGION;
 use super::setting::SERVICES;
 use super::trainer::Trainer;
 
@@ -40,8 +40,6 @@
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
 /// Time in which an instance that starts while the log is down gets it from its peers.
 const JOINED_WITHIN: Duration = Duration::from_secs(10);
-/// Time after which an endpoint that is leaving gets nothing new.
-const LEFT_WITHIN: Duration = Duration::from_secs(8);
 /// Longest stretch of virtual time between two looks at the fleet.
 const STEP: Duration = Duration::from_millis(100);
 /// Time in which all that was asked for is answered once nothing fails.
@@ -67,20 +65,6 @@
     is_told_to_exit: bool,
 }
 
-/// Who says that an endpoint is leaving.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum Source {
-    Configuration,
-    List,
-    Engine,
-}
-
-/// An endpoint that is leaving, and what it had begun when that had to be known.
-struct Leaving {
-    since: Timestamp,
-    begun: Option<u64>,
-}
-
 pub(crate) struct World {
     pub(crate) fleet: Fleet,
     pub(crate) instances: Vec<InstanceId>,
@@ -203,74 +187,6 @@
         }
     }
 
-    fn note_configured_leaving(&mut self, leaving: Option<usize>) {
-        let is_said = |(engine, source): &(usize, Source)| {
-            *source != Source::Configuration || leaving == Some(*engine)
-        };
-        self.leaving.retain(|key, _| is_said(key));
-        if let Some(engine) = leaving {
-            self.note_leaving(engine, Source::Configuration);
-        }
-    }
-
-    fn note_leaving(&mut self, engine: usize, source: Source) {
-        let since = self.fleet.now();
-        let leaving = Leaving { since, begun: None };
-        self.leaving.entry((engine, source)).or_insert(leaving);
-    }
-
-    /// Lets the platform's list say that an engine is leaving.
-    pub(crate) fn list_leaving(&mut self, engine: usize) {
-        let live = self.instances.iter().map(|id| ListedInstance {
-            id: id.clone(),
-            address: format!("{id}:7401").into(),
-            availability_zone: AvailabilityZone::from("a"),
-            region: Region::from(REGION),
-            state: ListedState::Live,
-        });
-        let mut listed: Vec<ListedInstance> = live.collect();
-        self.note_leaving(engine, Source::List);
-        let left = self.leaving.keys().filter(|(_, by)| *by == Source::List);
-        listed.extend(left.map(|(engine, _)| ListedInstance {
-            id: InstanceId::from(setting::engine_name(*engine).as_str()),
-            address: setting::engine_address(*engine).into(),
-            availability_zone: AvailabilityZone::from("a"),
-            region: Region::from(REGION),
-            state: ListedState::Leaving,
-        }));
-        self.fleet.listed = Some(listed);
-        count("endpoints listed as leaving", 1);
-    }
-
-    /// Lets the platform's list say that an engine is live.
-    pub(crate) fn list_back(&mut self, engine: usize) {
-        self.leaving.shift_remove(&(engine, Source::List));
-        let name = setting::engine_name(engine);
-        for listed in self.fleet.listed.iter_mut().flatten() {
-            if listed.id.as_str() == name {
-                listed.state = ListedState::Live;
-            }
-        }
-    }
-
-    /// Lists one engine as live again where every engine is leaving: none of them may get new
-    /// work, so no step could go on.
-    fn list_one_back(&mut self) {
-        let is_leaving = |engine: &usize| self.leaving.keys().any(|(left, _)| left == engine);
-        if !(0..ENGINES).all(|engine| is_leaving(&engine)) {
-            return;
-        }
-        let by_list_alone = |engine: &usize| {
-            let configured = self.leaving.contains_key(&(*engine, Source::Configuration));
-            self.leaving.contains_key(&(*engine, Source::List)) && !configured
-        };
-        // An engine that says so itself is replaced when the faults end.
-        let listed = (0..ENGINES).find(by_list_alone);
-        if let Some(engine) = listed {
-            self.list_back(engine);
-        }
-    }
-
     /// Notes that the test published a revision itself.
     pub(crate) fn note_published(&mut self) {
         self.revision += 1;
@@ -284,18 +200,6 @@
         services.any(|service| service.runs_by_key.contains_key(&key))
     }
 
-    /// Lets an engine say itself that it is leaving.
-    pub(crate) fn engine_leaves(&mut self, engine: usize) {
-        let address = setting::engine_address(engine);
-        let fake = &mut self.fleet.engines[address.as_str()];
-        if fake.is_down || fake.is_silent {
-            return;
-        }
-        fake.is_leaving = true;
-        self.note_leaving(engine, Source::Engine);
-        count("endpoints leaving", 1);
-    }
-
     pub(crate) fn new_version(&mut self) {
         let version = self.fleet.models[&ModelId::from(MODEL)].next();
         self.fleet.models.insert(ModelId::from(MODEL), version);
@@ -483,30 +387,6 @@
         }
     }
 
-    fn check_leaving(&mut self) {
-        let now = self.fleet.now();
-        let fake = |index: usize| &self.fleet.engines[setting::engine_address(index).as_str()];
-        self.leaving
-            .retain(|(engine, by), _| *by != Source::Engine || fake(*engine).is_leaving);
-        for ((engine, by), leaving) in &mut self.leaving {
-            let begun = fake(*engine).begun;
-            if *by == Source::Engine && fake(*engine).is_silent {
-                // It cannot say so while nothing of it gets through.
-                leaving.since = now;
-                leaving.begun = None;
-            }
-            if now.since(leaving.since) < LEFT_WITHIN {
-                continue;
-            }
-            let known = *leaving.begun.get_or_insert(begun);
-            assert_eq!(
-                begun, known,
-                "new work for engine-{engine}, leaving by {by:?}"
-            );
-            count("looks at endpoints that left", 1);
-        }
-    }
-
     fn note_revisions(&mut self) {
         for (_, instance, note) in &self.fleet.notes[self.notes_seen..] {
             let Note::RevisionInForce { revision, .. } = note else {
