Take the records of one read together

Each entry of an endpoint that said something new copied the table of endpoints, so that the first list of 3,000 made 3,000 copies at every instance; each address of an instance copied the table of addresses.

--- a/wisteriaford_gateway/src/directory.rs
+++ b/wisteriaford_gateway/src/directory.rs
@@ -49,25 +49,31 @@
 
     fn snapshot(&mut self, records: Vec<LogRecord>, _end: Offset) {
         // Versions only rise, so a record that is missing takes nothing back.
+        self.records(records);
+    }
+
+    fn records(&mut self, records: Vec<LogRecord>) {
         for record in records {
-            self.record(record);
+            self.apply(&record);
         }
     }
 
-    fn record(&mut self, record: LogRecord) {
-        match self.gateway.facts.decode(&record, Topic::Publications) {
+    fn caught_up(&mut self, _end: Offset, as_of: Timestamp) {
+        self.gateway.freshness(Topic::Publications).advance(as_of);
+    }
+}
+
+impl PublicationFollower {
+    fn apply(&self, record: &LogRecord) {
+        match self.gateway.facts.decode(record, Topic::Publications) {
             Ok(Fact::Routes(routes)) => put_in_force(&self.gateway, *routes, record.offset),
             Ok(Fact::Weights { model, version }) => {
                 name_version(&self.gateway, &model, version, record.offset);
             }
             Ok(Fact::Endpoint(_) | Fact::EndpointGone(_) | Fact::Other) => {}
-            Err(error) => skip(&self.gateway, Topic::Publications, &record, &error),
+            Err(error) => skip(&self.gateway, Topic::Publications, record, &error),
         }
     }
-
-    fn caught_up(&mut self, _end: Offset, as_of: Timestamp) {
-        self.gateway.freshness(Topic::Publications).advance(as_of);
-    }
 }
 
 fn put_in_force(gateway: &Gateway, routes: RouteTable, offset: Offset) {
@@ -134,16 +140,32 @@
         (until > clock::now()).then_some(until)
     }
 
-    fn put(&self, endpoint: Endpoint, offset: Offset) {
-        // A copy of the table for every heartbeat of every endpoint would grow with their square.
-        if self.gateway.view.load().endpoints.knows(&endpoint) {
+    /// Returns the table in force; it is copied when something in it changes for the first time.
+    fn table(&self) -> Arc<EndpointTable> {
+        Arc::clone(&self.gateway.view.load().endpoints)
+    }
+
+    fn apply(&self, record: &LogRecord, table: &mut Arc<EndpointTable>) {
+        match self.gateway.facts.decode(record, Topic::Endpoints) {
+            Ok(Fact::Endpoint(endpoint)) => self.put(*endpoint, record.offset, table),
+            Ok(Fact::EndpointGone(id)) => self.remove(&id, record.offset, table),
+            Ok(Fact::Routes(_) | Fact::Weights { .. } | Fact::Other) => {}
+            Err(error) => {
+                skip(&self.gateway, Topic::Endpoints, record, &error);
+                if let Some(id) = self.gateway.facts.endpoint_of(&record.key) {
+                    self.remove(&id, record.offset, table);
+                }
+            }
+        }
+    }
+
+    fn put(&self, endpoint: Endpoint, offset: Offset, table: &mut Arc<EndpointTable>) {
+        if table.knows(&endpoint) {
             return;
         }
         let id = endpoint.id.clone();
         let pool = endpoint.pool.clone();
-        let mut table = (*self.gateway.view.load().endpoints).clone();
-        let change = table.insert(endpoint);
-        self.publish(table);
+        let change = Arc::make_mut(table).insert(endpoint);
         match change {
             EndpointChange::Unchanged => return,
             EndpointChange::Restarted => self.gateway.fleet().forget(&id),
@@ -153,17 +175,13 @@
             endpoint:% = id, pool:% = pool, change:? = change, offset = offset.0;
             "endpoint list changed"
         );
-        self.gateway.runner_wake.notify_one();
     }
 
-    fn remove(&self, id: &EndpointId, offset: Offset) {
-        let lapse_until = self.lapse_until();
-        let mut table = (*self.gateway.view.load().endpoints).clone();
-        let change = table.remove(id, lapse_until);
-        if change == EndpointChange::Unchanged {
+    fn remove(&self, id: &EndpointId, offset: Offset, table: &mut Arc<EndpointTable>) {
+        if table.get(id).is_none() {
             return;
         }
-        self.publish(table);
+        let change = Arc::make_mut(table).remove(id, self.lapse_until());
         log::info!(
             endpoint:% = id, change:? = change, offset = offset.0; "endpoint list changed"
         );
@@ -172,9 +190,13 @@
         }
     }
 
-    fn publish(&self, table: EndpointTable) {
-        let table = Arc::new(table);
-        change_view(&self.gateway, |view| view.endpoints = Arc::clone(&table));
+    /// Puts a table in force, if it isn't.
+    fn publish(&self, table: &Arc<EndpointTable>) {
+        if Arc::ptr_eq(table, &self.gateway.view.load().endpoints) {
+            return;
+        }
+        change_view(&self.gateway, |view| view.endpoints = Arc::clone(table));
+        self.gateway.runner_wake.notify_one();
     }
 }
 
@@ -192,30 +214,25 @@
     }
 
     fn snapshot(&mut self, records: Vec<LogRecord>, end: Offset) {
+        let mut table = self.table();
         let mut listed = IndexSet::new();
         for record in records {
             let id = self.gateway.facts.endpoint_of(&record.key);
             listed.extend(id.filter(|_| record.value.is_some()));
-            self.record(record);
+            self.apply(&record, &mut table);
         }
-        let missing = self.gateway.view.load().endpoints.missing_from(&listed);
-        for id in missing {
-            self.remove(&id, end);
+        for id in table.missing_from(&listed) {
+            self.remove(&id, end, &mut table);
         }
+        self.publish(&table);
     }
 
-    fn record(&mut self, record: LogRecord) {
-        match self.gateway.facts.decode(&record, Topic::Endpoints) {
-            Ok(Fact::Endpoint(endpoint)) => self.put(*endpoint, record.offset),
-            Ok(Fact::EndpointGone(id)) => self.remove(&id, record.offset),
-            Ok(Fact::Routes(_) | Fact::Weights { .. } | Fact::Other) => {}
-            Err(error) => {
-                skip(&self.gateway, Topic::Endpoints, &record, &error);
-                if let Some(id) = self.gateway.facts.endpoint_of(&record.key) {
-                    self.remove(&id, record.offset);
-                }
-            }
+    fn records(&mut self, records: Vec<LogRecord>) {
+        let mut table = self.table();
+        for record in records {
+            self.apply(&record, &mut table);
         }
+        self.publish(&table);
     }
 
     fn caught_up(&mut self, _end: Offset, as_of: Timestamp) {
@@ -223,17 +240,15 @@
         if self.back_since.is_some() && self.lapse_until().is_none() {
             self.back_since = None;
         }
-        let table = Arc::clone(&self.gateway.view.load().endpoints);
+        let mut table = self.table();
         if !table.has_expired(clock::now()) {
             return;
         }
-        let mut table = (*table).clone();
-        let gone = table.expire_lapsed(clock::now());
-        self.publish(table);
-        for id in gone {
+        for id in Arc::make_mut(&mut table).expire_lapsed(clock::now()) {
             log::info!(endpoint:% = id; "endpoint's lapsed entry did not come back");
             self.gateway.fleet().forget(&id);
         }
+        self.publish(&table);
     }
 
     fn reachable(&mut self, reachable: bool) {
--- a/wisteriaford_gateway/src/duty_task.rs
+++ b/wisteriaford_gateway/src/duty_task.rs
@@ -39,14 +39,14 @@
     }
 
     fn snapshot(&mut self, records: Vec<LogRecord>, _end: Offset) {
-        for record in records {
-            self.record(record);
-        }
+        self.records(records);
     }
 
-    fn record(&mut self, record: LogRecord) {
-        if let Some(value) = &record.value {
-            apply(&self.gateway, record.offset, value);
+    fn records(&mut self, records: Vec<LogRecord>) {
+        for record in records {
+            if let Some(value) = &record.value {
+                apply(&self.gateway, record.offset, value);
+            }
         }
     }
 
--- a/wisteriaford_gateway/src/follow.rs
+++ b/wisteriaford_gateway/src/follow.rs
@@ -39,8 +39,8 @@
     /// Takes the newest record of every key; what isn't among them is gone.
     fn snapshot(&mut self, records: Vec<LogRecord>, end: Offset);
 
-    /// Takes a record.
-    fn record(&mut self, record: LogRecord);
+    /// Takes the records of one read, at least one.
+    fn records(&mut self, records: Vec<LogRecord>);
 
     /// Takes that everything before `end` was read, as of `as_of`.
     fn caught_up(&mut self, end: Offset, as_of: Timestamp);
@@ -124,9 +124,9 @@
         follower.reachable(true);
         let received = clock::now();
         let is_empty = page.records.is_empty();
-        for record in page.records {
-            next = record.offset.next();
-            follower.record(record);
+        if let Some(last) = page.records.last() {
+            next = last.offset.next();
+            follower.records(page.records);
         }
         if next >= page.end {
             // An empty page says that nothing came until the wait was over.
--- a/wisteriaford_gateway/src/job_log.rs
+++ b/wisteriaford_gateway/src/job_log.rs
@@ -51,13 +51,24 @@
         // Texts of old results are read when somebody asks: all of them at once are more calls
         // than the log takes in a second.
         self.is_live = false;
+        self.records(records);
+        self.is_live = true;
+    }
+
+    fn records(&mut self, records: Vec<LogRecord>) {
         for record in records {
-            self.record(record);
+            self.apply(&record);
         }
-        self.is_live = true;
     }
 
-    fn record(&mut self, record: LogRecord) {
+    fn caught_up(&mut self, _end: Offset, as_of: Timestamp) {
+        self.gateway.freshness(Topic::Jobs).advance(as_of);
+        self.gateway.jobs_have_changed();
+    }
+}
+
+impl JobFollower {
+    fn apply(&self, record: &LogRecord) {
         let value = record.value.as_deref();
         let change = self.gateway.jobs().apply(record.offset, &record.key, value);
         let change = match change {
@@ -75,13 +86,6 @@
         self.note(&change, record.offset);
     }
 
-    fn caught_up(&mut self, _end: Offset, as_of: Timestamp) {
-        self.gateway.freshness(Topic::Jobs).advance(as_of);
-        self.gateway.jobs_have_changed();
-    }
-}
-
-impl JobFollower {
     fn prefetch(&self, job: &JobId, items: &[ItemId]) {
         let jobs = self.gateway.jobs();
         let first = items.first();
--- a/wisteriaford_gateway/src/peers.rs
+++ b/wisteriaford_gateway/src/peers.rs
@@ -54,17 +54,29 @@
 
     fn snapshot(&mut self, records: Vec<LogRecord>, _end: Offset) {
         self.gateway.log.set_peers(PeerTable::new());
+        self.records(records);
+    }
+
+    fn records(&mut self, records: Vec<LogRecord>) {
+        let log = &self.gateway.log;
+        let mut peers = (*log.peers()).clone();
         for record in records {
-            self.record(record);
+            self.apply(record, &mut peers);
         }
+        log::debug!(peers = peers.len(); "peers changed");
+        log.set_peers(peers);
     }
 
-    fn record(&mut self, record: LogRecord) {
-        let log = &self.gateway.log;
+    fn caught_up(&mut self, _end: Offset, as_of: Timestamp) {
+        self.gateway.freshness(Topic::Instances).advance(as_of);
+    }
+}
+
+impl PeerFollower {
+    fn apply(&self, record: LogRecord, peers: &mut PeerTable) {
         if record.key == self.gateway.settings.load().host {
             return;
         }
-        let mut peers = (*log.peers()).clone();
         match record.value.as_deref().map(decode) {
             None => {
                 peers.shift_remove(&record.key);
@@ -79,15 +91,8 @@
                     error = cause;
                     "record skipped"
                 );
-                return;
             }
         }
-        log::debug!(peers = peers.len(); "peers changed");
-        log.set_peers(peers);
-    }
-
-    fn caught_up(&mut self, _end: Offset, as_of: Timestamp) {
-        self.gateway.freshness(Topic::Instances).advance(as_of);
     }
 }
 
