--- a/wisteriaford_core/src/gateway/fleet/shortlist.rs
+++ b/wisteriaford_core/src/gateway/fleet/shortlist.rs
@@ -57,7 +57,8 @@
 }
 
 impl<'a> Shortlist<'a> {
-    /// Looks at all endpoints; see [`Fleet::choose`] for what is looked at.
+    /// Looks at all endpoints, as [`Fleet::choose`] does; none is forced, and what is preferred is said
+    /// at each choice.
     pub fn new(
         fleet: &Fleet,
         now: Timestamp,
