Log the fingerprint of requests, and endpoints replaced at their address

On-call could not bring the repeats of a request together: each has its own id, and no line said that an endpoint had come back in place of one that crashed.

Calls, streams and items are logged with a fingerprint of method, host, path and body, from wisteriaford_core::gateway::fingerprint, which uses the hash that the product's own fingerprints use.

Logic unchanged.

--- a/wisteriaford_core/src/gateway.rs
+++ b/wisteriaford_core/src/gateway.rs
@@ -5,6 +5,7 @@
 //! Nothing in this module performs I/O.
 
 pub mod endpoint;
+pub mod fingerprint;
 pub mod job;
 pub mod job_fold;
 pub mod leadership;
--- a/wisteriaford_core/src/gateway/endpoint.rs
+++ b/wisteriaford_core/src/gateway/endpoint.rs
@@ -151,6 +151,18 @@
         self.endpoints.get(endpoint)
     }
 
+    /// Returns another endpoint that is listed at the address of a new one.
+    ///
+    /// Its entry is left over: an endpoint that returns after a crash mostly has a new name.
+    #[must_use]
+    pub fn at_address(&self, new: &Endpoint) -> Option<&Endpoint> {
+        if self.endpoints.contains_key(&new.id) {
+            return None;
+        }
+        let mut endpoints = self.endpoints.values();
+        endpoints.find(|endpoint| endpoint.address == new.address)
+    }
+
     /// Returns the endpoints of a pool that accept new requests.
     pub fn serving<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a Endpoint> {
         let endpoints = self.endpoints.values();
--- a/wisteriaford_core/tests/gateway_endpoint.rs
+++ b/wisteriaford_core/tests/gateway_endpoint.rs
@@ -5,6 +5,7 @@
 mod fixtures;
 
 use indexmap::IndexSet;
+use wisteriaford_core::gateway::endpoint::Endpoint;
 use wisteriaford_core::gateway::endpoint::EndpointChange;
 use wisteriaford_core::gateway::endpoint::EndpointTable;
 use wisteriaford_core::id::EndpointId;
@@ -108,3 +109,25 @@
 
     assert_eq!(missing, vec![EndpointId::from("f")]);
 }
+
+#[test]
+fn an_endpoint_that_returns_under_a_new_name_replaces_the_entry_at_its_address() {
+    let mut table = EndpointTable::default();
+    table.insert(endpoint("e-1", "a", 4));
+    let successor = Endpoint {
+        id: "e-2".into(),
+        ..endpoint("e-1", "a", 4)
+    };
+    let elsewhere = Endpoint {
+        address: "10.0.0.9:1".parse().expect("an address"),
+        ..successor.clone()
+    };
+
+    let replaced = table.at_address(&successor).map(|e| e.id.clone());
+    let kept = table.at_address(&elsewhere).map(|e| e.id.clone());
+    let renewed = table.at_address(&endpoint("e-1", "a", 4)).is_some();
+
+    assert_eq!(replaced, Some(EndpointId::from("e-1")));
+    assert_eq!(kept, None);
+    assert!(!renewed);
+}
--- a/wisteriaford_gateway/src/directory.rs
+++ b/wisteriaford_gateway/src/directory.rs
@@ -172,7 +172,14 @@
         }
         let id = endpoint.id.clone();
         let pool = endpoint.pool.clone();
+        let replaced = table.at_address(&endpoint).map(|other| other.id.clone());
         let change = Arc::make_mut(table).insert(endpoint);
+        if let Some(replaced) = replaced {
+            log::info!(
+                endpoint:% = replaced, successor:% = id, offset = offset.0;
+                "endpoint replaced at its address"
+            );
+        }
         match change {
             EndpointChange::Unchanged => return,
             EndpointChange::Restarted => self.gateway.load_balancer().forget(&id),
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -18,10 +18,12 @@
 use http::header;
 use http::request::Parts;
 use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::fingerprint::call_fingerprint;
 use wisteriaford_core::gateway::load_balancer::CALL_COSTS;
 use wisteriaford_core::gateway::load_balancer::SelectionCriteria;
 use wisteriaford_core::gateway::route::Route;
 use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::Fingerprint;
 use wisteriaford_core::id::PoolId;
 use wisteriaford_core::time::Timestamp;
 
@@ -72,6 +74,7 @@
     pub(crate) pool: &'a PoolId,
     pub(crate) parts: &'a Parts,
     pub(crate) body: Bytes,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) deadline: Timestamp,
 }
 
@@ -133,6 +136,7 @@
         route,
         pool,
         parts,
+        fingerprint: fingerprint(head, parts, &body),
         body,
         deadline: arrived + time,
     };
@@ -152,6 +156,11 @@
     }
 }
 
+fn fingerprint(head: &CallerHead, parts: &Parts, body: &[u8]) -> Fingerprint {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    call_fingerprint(parts.method.as_str(), &head.host, path, body)
+}
+
 fn log_outcome(
     gateway: &Gateway,
     call: &Call<'_>,
@@ -166,8 +175,8 @@
         Err(reason) => compact_str::format_compact!("{reason}"),
     };
     log::info!(
-        request:% = call.head.request, route:% = call.route.id, pool:% = call.pool,
-        endpoints = tried, outcome:% = outcome, may_have_run = state.may_have_run,
+        request:% = call.head.request, fingerprint:% = call.fingerprint, route:% = call.route.id,
+        pool:% = call.pool, endpoints = tried, outcome:% = outcome, may_have_run = state.may_have_run,
         took_ms = elapsed.as_millis(), time_left_ms = call.deadline.since(clock::now()).as_millis(),
         table = gateway.view.load().routes.version.0;
         "call ended"
@@ -246,7 +255,8 @@
         }
         Attempt::Lost(error) => {
             log::info!(
-                request:% = call.head.request, endpoint:% = endpoint.id, error:% = error;
+                request:% = call.head.request, fingerprint:% = call.fingerprint,
+                endpoint:% = endpoint.id, error:% = error;
                 "answer of an endpoint lost"
             );
             state.may_have_run = true;
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -14,6 +14,7 @@
 use indexmap::IndexSet;
 use tokio::task::AbortHandle;
 use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::fingerprint::item_fingerprint;
 use wisteriaford_core::gateway::job::JobHead;
 use wisteriaford_core::gateway::record;
 use wisteriaford_core::gateway::schedule::DispatchContext;
@@ -291,8 +292,9 @@
         .schedule()
         .on_run_ended(now, &start, outcome, max_failures);
     log::info!(
-        job:% = start.job.id, item:% = start.item.id, endpoint:% = start.endpoint.id,
-        outcome:? = outcome, cause:% = cause.unwrap_or_default(), after_event = start.after_event,
+        job:% = start.job.id, item:% = start.item.id,
+        fingerprint:% = item_fingerprint(&start.job, &start.item),
+        endpoint:% = start.endpoint.id, outcome:? = outcome, cause:% = cause.unwrap_or_default(), after_event = start.after_event,
         expected_tokens = start.item.expected_output_tokens, tokens = start.item.tokens,
         events = events, in_flight = start.reason.in_flight, relative_pace = start.reason.relative_pace,
         took_ms = now.since(started).as_millis();
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -16,6 +16,7 @@
 use wisteriaford_core::gateway::load_balancer::SelectionCriteria;
 use wisteriaford_core::gateway::route::Route;
 use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::Fingerprint;
 use wisteriaford_core::id::PoolId;
 use wisteriaford_core::time::Timestamp;
 
@@ -53,6 +54,7 @@
     pool: PoolId,
     parts: http::request::Parts,
     body: Bytes,
+    fingerprint: Fingerprint,
     deadline: Timestamp,
     tried: Vec<EndpointId>,
     last_event: Option<u64>,
@@ -87,6 +89,7 @@
         pool: call.pool.clone(),
         parts: call.parts.clone(),
         body: call.body.clone(),
+        fingerprint: call.fingerprint,
         deadline: call.deadline,
         tried: vec![endpoint.id.clone()],
         last_event: call.head.after_event,
@@ -127,8 +130,8 @@
             PartEnd::Failed(error) => error,
         };
         log::info!(
-            request:% = call.head.request, endpoint:% = endpoint.id, error:% = error,
-            last_event = call.last_event;
+            request:% = call.head.request, fingerprint:% = call.fingerprint,
+            endpoint:% = endpoint.id, error:% = error, last_event = call.last_event;
             "stream failed"
         );
         call.gateway
@@ -205,6 +208,7 @@
                 pool: &call.pool,
                 parts: &call.parts,
                 body: call.body.clone(),
+                fingerprint: call.fingerprint,
                 deadline: call.deadline,
             };
             build_request(&call.gateway, &forwarded, &endpoint, call.last_event)
