--- a/wisteriaford_core/src/gateway.rs
+++ b/wisteriaford_core/src/gateway.rs
@@ -13,4 +13,5 @@
 pub mod record;
 pub mod route;
 pub mod schedule;
+pub mod suspects;
 pub mod weights;
--- a/wisteriaford_core/src/gateway/endpoint.rs
+++ b/wisteriaford_core/src/gateway/endpoint.rs
@@ -132,17 +132,17 @@
     }
 
     /// Removes and returns the endpoints whose entry expired and was not restored in time.
-    pub fn remove_expired(&mut self, now: Timestamp) -> Vec<EndpointId> {
+    pub fn remove_expired(&mut self, now: Timestamp) -> Vec<Endpoint> {
         let due = self
             .deferred_removals
             .iter()
             .filter(|(_, remove_at)| **remove_at <= now);
         let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
-        for id in &due {
+        let removed = due.iter().filter_map(|id| {
             self.deferred_removals.shift_remove(id);
-            self.endpoints.shift_remove(id);
-        }
-        due
+            self.endpoints.shift_remove(id)
+        });
+        removed.collect()
     }
 
     /// Returns an endpoint by name.
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -19,6 +19,7 @@
 
 use crate::gateway::endpoint::Endpoint;
 use crate::gateway::endpoint::EndpointTable;
+use crate::gateway::fingerprint::item_fingerprint;
 use crate::gateway::job::ItemResult;
 use crate::gateway::job::ItemSpec;
 use crate::gateway::job::ItemState;
@@ -46,6 +47,8 @@
 pub use crate::gateway::schedule::run::RunOutcome;
 pub use crate::gateway::schedule::run::RunStart;
 pub use crate::gateway::schedule::run::may_start_items;
+use crate::gateway::suspects::Admission;
+use crate::gateway::suspects::Suspects;
 use crate::gateway::weights::ModelDemand;
 use crate::id::EndpointId;
 use crate::id::InstanceId;
@@ -119,6 +122,7 @@
             let progress = progress.filter(|p| p.versions.iter().all(|v| *v >= head.min_version));
             let run = ItemRun {
                 spec: Arc::clone(spec),
+                fingerprint: item_fingerprint(head, spec),
                 phase: ItemPhase::Waiting {
                     not_before: Timestamp::default(),
                 },
@@ -298,10 +302,12 @@
     ///
     /// `idle_connections` returns the number of open connections to an engine that are idle.
     /// `accepts` returns whether an engine has a version of the weights that the batch job accepts.
+    /// Items whose earlier runs crashed engines wait as long as `suspects` refuses them.
     pub fn next_starts(
         &mut self,
         context: &DispatchContext<'_>,
         load_balancer: &mut LoadBalancer,
+        suspects: &mut Suspects,
         idle_connections: impl Fn(&EndpointId) -> usize,
         accepts: impl Fn(&Endpoint, &JobHead, Option<Version>) -> bool,
     ) -> Vec<RunStart> {
@@ -339,7 +345,16 @@
                     packing.choose(model, tokens, ready.cache_tokens?, admits)
                 });
                 let preferred = packed.as_ref().or(ready.affinity.as_ref());
+                // Only the leader runs items, so that a trial needs no record in the log.
+                let admission = suspects.admit(context.now, ready.fingerprint);
+                if matches!(admission, Admission::Refuse { .. }) {
+                    continue;
+                }
+                let alone = admission != Admission::Run;
                 let Some((endpoint, reason)) = shortlist.select(load_balancer, preferred) else {
+                    if alone {
+                        suspects.end_alone(ready.fingerprint);
+                    }
                     continue;
                 };
                 if let Some((model, tokens)) = long_item {
@@ -347,7 +362,8 @@
                 }
                 self.last_run += 1;
                 let run = RunNumber(self.last_run);
-                starts.extend(active.start(id, &ready, run, endpoint, reason, context.now));
+                let start = active.start(id, &ready, run, endpoint, reason, context.now);
+                starts.extend(start.map(|start| RunStart { alone, ..start }));
             }
             active.order = order;
         }
--- a/wisteriaford_core/src/gateway/schedule/active.rs
+++ b/wisteriaford_core/src/gateway/schedule/active.rs
@@ -21,6 +21,7 @@
 use crate::gateway::schedule::RunNumber;
 use crate::gateway::schedule::RunStart;
 use crate::id::EndpointId;
+use crate::id::Fingerprint;
 use crate::id::GroupId;
 use crate::id::ItemId;
 use crate::id::ModelId;
@@ -62,6 +63,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct ItemRun {
     pub(super) spec: Arc<ItemSpec>,
+    pub(super) fingerprint: Fingerprint,
     pub(super) phase: ItemPhase,
     pub(super) progress: Progress,
     /// Number of events that were saved.
@@ -83,6 +85,7 @@
 
 /// Requirements of an item that can start now.
 pub(super) struct ReadyItem<'a> {
+    pub(super) fingerprint: Fingerprint,
     pub(super) pool: &'a PoolId,
     /// Preferred engine of the item's group.
     pub(super) affinity: Option<EndpointId>,
@@ -117,6 +120,7 @@
         let group = item.spec.group.as_ref();
         let affinity = group.and_then(|group| self.group_endpoints.get(group));
         Some(ReadyItem {
+            fingerprint: item.fingerprint,
             pool,
             affinity: affinity.cloned(),
             max_in_flight: engine.map(|engine| engine.slots),
@@ -164,6 +168,8 @@
         Some(RunStart {
             job: Arc::clone(&self.head),
             item: Arc::clone(&item.spec),
+            fingerprint: item.fingerprint,
+            alone: false,
             run,
             endpoint: endpoint.clone(),
             after_event: item.progress.last_event,
--- a/wisteriaford_core/src/gateway/schedule/run.rs
+++ b/wisteriaford_core/src/gateway/schedule/run.rs
@@ -10,6 +10,7 @@
 use crate::gateway::job::JobHead;
 use crate::gateway::load_balancer::SelectionReason;
 use crate::gateway::route::RouteTable;
+use crate::id::Fingerprint;
 use crate::id::JobId;
 use crate::id::Version;
 use crate::time::Timestamp;
@@ -39,6 +40,10 @@
     pub job: Arc<JobHead>,
     /// The item.
     pub item: Arc<ItemSpec>,
+    /// Fingerprint of the item's request.
+    pub fingerprint: Fingerprint,
+    /// Whether no repeat of the request may run at the same time.
+    pub alone: bool,
     /// Number of the run.
     pub run: RunNumber,
     /// Engine that runs the item.
--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -55,6 +55,7 @@
 use crate::membership::Membership;
 use crate::placement::CoordinatorTable;
 use crate::placement::Rendezvous;
+use crate::quarantine::GOSSIP_POLICY;
 use crate::quarantine::Quarantine;
 use crate::reply::Reply;
 use crate::request::ActiveRequest;
@@ -221,7 +222,7 @@
             tracked_caches: IndexMap::new(),
             router: Router::new(identity.availability_zone.clone()),
             retries: RetryPolicy::new(seed),
-            quarantine: Quarantine::new(SUSPECT_RETENTION),
+            quarantine: Quarantine::new(GOSSIP_POLICY, SUSPECT_RETENTION),
             limits: Limits::new(seed),
             shares: Shares::new(SHARES_WINDOW),
             claims: Claims::new(identity.id.clone(), &claim_settings()),
--- a/wisteriaford_core/src/instance/requests/slot_requests.rs
+++ b/wisteriaford_core/src/instance/requests/slot_requests.rs
@@ -54,7 +54,7 @@
             .verdict(now, active.fingerprint, quarantine_time)
         {
             Verdict::Unrestricted => false,
-            Verdict::Alone => true,
+            Verdict::Alone | Verdict::Trial => true,
             Verdict::Refused { until } => {
                 let refusal = self.refusal_for(request, RefusalReason::Quarantined);
                 let refusal = refusal.with_retry_after(until.since(now));
--- a/wisteriaford_core/tests/gateway_endpoint.rs
+++ b/wisteriaford_core/tests/gateway_endpoint.rs
@@ -20,10 +20,11 @@
 
     let change = table.remove(&"e".into(), Some(at(2_000)));
     let before = table.remove_expired(at(1_999));
-    let after = table.remove_expired(at(2_000));
+    let after = table.remove_expired(at(2_000)).into_iter();
+    let after: Vec<_> = after.map(|endpoint| endpoint.id).collect();
 
     assert_eq!(change, EndpointChange::Lapsed);
-    assert_eq!(before, Vec::<EndpointId>::new());
+    assert_eq!(before, Vec::new());
     assert_eq!(after, vec![EndpointId::from("e")]);
     assert!(table.is_empty());
 }
--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -21,6 +21,9 @@
 use wisteriaford_core::gateway::schedule::RunOutcome;
 use wisteriaford_core::gateway::schedule::RunStart;
 use wisteriaford_core::gateway::schedule::may_start_items;
+use wisteriaford_core::gateway::suspects::CrashSign;
+use wisteriaford_core::gateway::suspects::Loss;
+use wisteriaford_core::gateway::suspects::LostRun;
 use wisteriaford_core::id::JobId;
 use wisteriaford_core::id::Version;
 
@@ -286,6 +289,7 @@
     let starts = harness.schedule.next_starts(
         &context,
         &mut harness.load_balancer,
+        &mut harness.suspects,
         |_| 1,
         |endpoint, head, _| head.min_version < Version(2) || endpoint.id.as_str() == "new",
     );
@@ -437,3 +441,42 @@
     assert_eq!(first.exact_version, None);
     assert_eq!(second.exact_version, Some(Version(3)));
 }
+
+/// Guards against an item whose broken runs are repeated without end, each at another engine.
+#[test]
+fn an_item_that_crashed_three_engines_waits_while_other_items_start() {
+    let mut harness = ScheduleHarness::new(&["e", "f", "g", "h"], 1);
+    harness.open(&job("j", vec![item("crashing", "a", 10)]));
+    let mut now = at(100_000);
+    for _ in 0..3 {
+        let start = harness.starts(now).pop().expect("a run");
+        now = now + Duration::from_millis(100);
+        let run = LostRun {
+            fingerprint: start.fingerprint,
+            began_at: now - Duration::from_millis(100),
+            ended_at: now,
+            progressed: false,
+            loss: Loss::Broken,
+        };
+        harness.suspects.end_alone(start.fingerprint);
+        harness.suspects.record_lost(&start.endpoint, run);
+        harness
+            .suspects
+            .record_crash(now, &start.endpoint, CrashSign::Refused);
+        harness
+            .load_balancer
+            .record_unreachable(now, &start.endpoint.id);
+        harness.end_run(now, &start, RunOutcome::Broken);
+        now = now + Duration::from_millis(100);
+    }
+    harness.open(&job("k", vec![item("harmless", "b", 10)]));
+
+    let starts = harness.starts(now);
+    let soon = harness.starts(now + Duration::from_secs(3));
+    let on_trial = harness.starts(now + Duration::from_secs(5));
+
+    assert_eq!(item_ids(&starts), ["harmless"]);
+    assert!(soon.is_empty());
+    assert_eq!(item_ids(&on_trial), ["crashing"]);
+    assert!(on_trial[0].alone);
+}
--- a/wisteriaford_core/tests/quarantine.rs
+++ b/wisteriaford_core/tests/quarantine.rs
@@ -7,6 +7,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use wisteriaford_core::id::Fingerprint;
+use wisteriaford_core::quarantine::GOSSIP_POLICY;
 use wisteriaford_core::quarantine::MAX_SUSPECTS;
 use wisteriaford_core::quarantine::MAX_UPDATES;
 use wisteriaford_core::quarantine::Quarantine;
@@ -19,7 +20,7 @@
 const BYSTANDER: Fingerprint = Fingerprint(2);
 
 fn quarantine() -> Quarantine {
-    Quarantine::new(RETENTION)
+    Quarantine::new(GOSSIP_POLICY, RETENTION)
 }
 
 fn gossip(from: &mut Quarantine, to: &mut Quarantine, now: Timestamp) {
--- a/wisteriaford_gateway/src/adapter.rs
+++ b/wisteriaford_gateway/src/adapter.rs
@@ -54,6 +54,9 @@
     /// Addresses of the instances.
     #[display("instances")]
     Instances,
+    /// Reports of requests that may have crashed endpoints.
+    #[display("quarantine")]
+    Quarantine,
 }
 
 /// Record of the shared log.
--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -19,6 +19,8 @@
 
 use crate::caller_jobs;
 use crate::clock;
+use crate::crash_reports;
+use crate::crash_reports::QuarantineFollower;
 use crate::directory::EndpointFollower;
 use crate::directory::PublicationFollower;
 use crate::follow::follow;
@@ -146,12 +148,16 @@
         let leadership = LeadershipFollower {
             gateway: Arc::clone(&follower_gateway),
         };
+        let quarantine = QuarantineFollower {
+            gateway: Arc::clone(&follower_gateway),
+        };
         tokio::join!(
             follow(&follower_gateway, publications),
             follow(&follower_gateway, endpoints),
             follow(&follower_gateway, jobs),
             follow(&follower_gateway, leadership),
             follow(&follower_gateway, instances),
+            follow(&follower_gateway, quarantine),
         );
     });
     if let Some(address) = gateway.settings.load().peer_address {
@@ -165,6 +171,8 @@
     tokio::spawn(progress::save(Arc::clone(gateway)));
     tokio::spawn(orders::run(Arc::clone(gateway)));
     tokio::spawn(outbox::run(Arc::clone(gateway)));
+    tokio::spawn(crash_reports::publish(Arc::clone(gateway)));
+    tokio::spawn(crash_reports::delete_expired(Arc::clone(gateway)));
     tokio::spawn(caller_jobs::delete_expired(Arc::clone(gateway)));
     tokio::spawn(prune_connections(Arc::clone(gateway)));
     tokio::spawn(watch_settings(Arc::clone(gateway), hangup, source));
--- a/wisteriaford_gateway/src/directory.rs
+++ b/wisteriaford_gateway/src/directory.rs
@@ -9,6 +9,7 @@
 use wisteriaford_core::gateway::endpoint::EndpointChange;
 use wisteriaford_core::gateway::endpoint::EndpointTable;
 use wisteriaford_core::gateway::route::RouteTable;
+use wisteriaford_core::gateway::suspects::CrashSign;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::ModelId;
 use wisteriaford_core::id::Offset;
@@ -21,6 +22,7 @@
 use crate::adapter::Topic;
 use crate::clock;
 use crate::follow::Follower;
+use crate::run;
 use crate::state::Gateway;
 use crate::state::View;
 
@@ -172,17 +174,24 @@
         }
         let id = endpoint.id.clone();
         let pool = endpoint.pool.clone();
-        let replaced = table.at_address(&endpoint).map(|other| other.id.clone());
+        let replaced = table.at_address(&endpoint).cloned();
+        let before = table.get(&id).cloned();
         let change = Arc::make_mut(table).insert(endpoint);
         if let Some(replaced) = replaced {
             log::info!(
-                endpoint:% = replaced, successor:% = id, offset = offset.0;
+                endpoint:% = replaced.id, successor:% = id, offset = offset.0;
                 "endpoint replaced at its address"
             );
+            run::record_crash(&self.gateway, &replaced, CrashSign::EntryReplaced);
         }
         match change {
             EndpointChange::Unchanged => return,
-            EndpointChange::Restarted => self.gateway.load_balancer().forget(&id),
+            EndpointChange::Restarted => {
+                self.gateway.load_balancer().forget(&id);
+                if let Some(before) = before {
+                    run::record_crash(&self.gateway, &before, CrashSign::EntryReplaced);
+                }
+            }
             _ => {}
         }
         log::info!(
@@ -192,15 +201,24 @@
     }
 
     fn remove(&self, id: &EndpointId, offset: Offset, table: &mut Arc<EndpointTable>) {
-        if table.get(id).is_none() {
+        let Some(before) = table.get(id).cloned() else {
             return;
-        }
+        };
         let change = Arc::make_mut(table).remove(id, self.grace_end());
         log::info!(
             endpoint:% = id, change:? = change, offset = offset.0; "endpoint list changed"
         );
         if change == EndpointChange::Removed {
-            self.gateway.load_balancer().forget(id);
+            self.forget_removed(&before);
+        }
+    }
+
+    /// Handles the end of an endpoint that crashed, or of one that left without notice: that one
+    /// still finishes its runs, so that none is lost.
+    fn forget_removed(&self, endpoint: &Endpoint) {
+        self.gateway.load_balancer().forget(&endpoint.id);
+        if !endpoint.leaving {
+            run::record_crash(&self.gateway, endpoint, CrashSign::EntryReplaced);
         }
     }
 
@@ -258,9 +276,9 @@
         if !table.has_due_removals(clock::now()) {
             return;
         }
-        for id in Arc::make_mut(&mut table).remove_expired(clock::now()) {
-            log::info!(endpoint:% = id; "expired entry of an endpoint was not renewed");
-            self.gateway.load_balancer().forget(&id);
+        for endpoint in Arc::make_mut(&mut table).remove_expired(clock::now()) {
+            log::info!(endpoint:% = endpoint.id; "expired entry of an endpoint was not renewed");
+            self.forget_removed(&endpoint);
         }
         self.publish(&table);
     }
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -22,6 +22,7 @@
 use wisteriaford_core::gateway::load_balancer::CALL_COSTS;
 use wisteriaford_core::gateway::load_balancer::SelectionCriteria;
 use wisteriaford_core::gateway::route::Route;
+use wisteriaford_core::gateway::suspects::Loss;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::Fingerprint;
 use wisteriaford_core::id::PoolId;
@@ -38,8 +39,12 @@
 use crate::refusal::Reason;
 use crate::refusal::full_body;
 use crate::refusal::refuse;
+use crate::run;
+use crate::run::Run;
+use crate::run::RunPermit;
 use crate::state::Gateway;
 use crate::stream;
+use crate::stream::OpenStream;
 
 /// Timeout of a call if neither the caller nor the route sets one; all known routes do.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -95,14 +100,14 @@
     /// The answer was read completely.
     Complete(StatusCode, HeaderMap, Bytes),
     /// The answer is a stream of events that is still arriving.
-    Stream(IncomingAnswer),
+    Stream(Box<OpenStream>),
 }
 
 impl Answered {
     fn status(&self) -> StatusCode {
         match self {
             Self::Complete(status, ..) => *status,
-            Self::Stream(answer) => answer.response.status(),
+            Self::Stream(open) => open.answer.response.status(),
         }
     }
 }
@@ -112,6 +117,10 @@
 struct CallState {
     tried: Vec<EndpointId>,
     may_have_run: bool,
+    /// Whether the last attempt was one of a request that may run only alone.
+    alone: bool,
+    /// Time until the call may be sent again, if it was refused as quarantined.
+    retry_after: Option<Duration>,
     failure: Option<Answered>,
 }
 
@@ -147,10 +156,11 @@
     gateway.metrics.record_call_time(elapsed);
     log_outcome(gateway, &call, &state, &result, elapsed);
     match result {
-        Ok((endpoint, answered)) => deliver(gateway, &call, endpoint, answered),
+        Ok((_, answered)) => deliver(gateway, &call, answered),
         Err(reason) => {
             gateway.metrics.record_refusal(reason);
-            let retry_after = (!state.may_have_run).then_some(RETRY_AFTER);
+            let retry_after = state.retry_after.unwrap_or(RETRY_AFTER);
+            let retry_after = (!state.may_have_run).then_some(retry_after);
             refuse(reason, retry_after)
         }
     }
@@ -177,6 +187,7 @@
     log::info!(
         request:% = call.head.request, fingerprint:% = call.fingerprint, route:% = call.route.id,
         pool:% = call.pool, endpoints = tried, outcome:% = outcome, may_have_run = state.may_have_run,
+        retry_after_ms = state.retry_after.map(|delay| delay.as_millis()),
         took_ms = elapsed.as_millis(), time_left_ms = call.deadline.since(clock::now()).as_millis(),
         table = gateway.view.load().routes.version.0;
         "call ended"
@@ -194,13 +205,14 @@
     let mut attempts = FuturesUnordered::new();
     loop {
         if attempts.is_empty() {
+            let permit = admit(gateway, call, state).await?;
             let Some(endpoint) = next_endpoint(gateway, call, state) else {
                 return exhausted(state);
             };
-            attempts.push(attempt(gateway, call, endpoint));
+            attempts.push(attempt(gateway, call, endpoint, permit));
         }
         let hedge = hedge_delay(gateway, call);
-        let may_hedge = idempotent && attempts.len() == 1;
+        let may_hedge = idempotent && attempts.len() == 1 && !is_suspect(gateway, call);
         tokio::select! {
             ended = attempts.next() => {
                 let Some((endpoint, outcome)) = ended else { continue };
@@ -211,7 +223,8 @@
             () = tokio::time::sleep(hedge), if may_hedge => {
                 if let Some(endpoint) = next_endpoint(gateway, call, state) {
                     gateway.metrics.hedges.add(1, &[]);
-                    attempts.push(attempt(gateway, call, endpoint));
+                    let permit = RunPermit::admitted(gateway, call.fingerprint, false);
+                    attempts.push(attempt(gateway, call, endpoint, permit));
                 } else if let Some((endpoint, outcome)) = attempts.next().await
                     && let Some(answered) = final_answer(call, state, &endpoint, outcome)?
                 {
@@ -222,6 +235,30 @@
     }
 }
 
+/// Returns the permission for the next attempt. A call that crashed the endpoints that ran it is not
+/// sent to another one.
+async fn admit(
+    gateway: &Arc<Gateway>,
+    call: &Call<'_>,
+    state: &mut CallState,
+) -> Result<RunPermit, Reason> {
+    let admitted = run::admit(gateway, call.fingerprint).await;
+    state.alone = admitted.as_ref().is_ok_and(RunPermit::is_alone);
+    admitted.map_err(|retry_after| {
+        state.retry_after = Some(retry_after);
+        if state.may_have_run {
+            Reason::AnswerLost
+        } else {
+            Reason::Quarantined
+        }
+    })
+}
+
+fn is_suspect(gateway: &Gateway, call: &Call<'_>) -> bool {
+    let suspects = gateway.suspects();
+    suspects.is_suspect(clock::now(), call.fingerprint)
+}
+
 /// Returns the answer to deliver if the outcome of an attempt is final for the call.
 fn final_answer(
     call: &Call<'_>,
@@ -260,7 +297,7 @@
                 "answer of an endpoint lost"
             );
             state.may_have_run = true;
-            if call.route.is_idempotent() {
+            if call.route.is_idempotent() && !state.alone {
                 return Ok(None);
             }
             Err(Reason::AnswerLost)
@@ -344,10 +381,12 @@
     gateway: &Arc<Gateway>,
     call: &Call<'_>,
     endpoint: Endpoint,
+    permit: RunPermit,
 ) -> (Endpoint, Attempt) {
     let _in_flight = InFlightGuard::from_counted(gateway, &endpoint.id);
     let sent = clock::now();
-    let outcome = exchange(gateway, call, &endpoint).await;
+    let run = Run::begin(&endpoint, call.fingerprint, permit);
+    let outcome = exchange(gateway, call, &endpoint, run).await;
     let now = clock::now();
     let mut load_balancer = gateway.load_balancer();
     match &outcome {
@@ -366,36 +405,56 @@
     (endpoint, outcome)
 }
 
-async fn exchange(gateway: &Gateway, call: &Call<'_>, endpoint: &Endpoint) -> Attempt {
+async fn exchange(
+    gateway: &Gateway,
+    call: &Call<'_>,
+    endpoint: &Endpoint,
+    mut run: Run,
+) -> Attempt {
     let request = build_request(gateway, call, endpoint, None);
     let fresh = !call.route.is_idempotent();
     let peer = endpoint.id.as_str();
     let opened = gateway.client.open(peer, endpoint.address, request, fresh);
     let answer = match opened.await {
         Ok(answer) => answer,
-        Err(error @ CallError::Unreachable { .. }) => return Attempt::Unreachable(error),
-        Err(error) => return Attempt::Lost(error),
+        Err(error @ CallError::Unreachable { .. }) => {
+            run.dismiss();
+            return Attempt::Unreachable(error);
+        }
+        Err(error) => {
+            run.lose(Loss::Broken);
+            return Attempt::Lost(error);
+        }
     };
     let metadata = answer_metadata(gateway, &answer);
     if let Some(mismatch) = find_mismatch(call, &metadata) {
+        run.dismiss();
         return Attempt::Lost(mismatch);
     }
     if metadata.not_run {
         let status = answer.response.status();
+        run.dismiss();
         // Reading the unused body of a refusal allows the connection to be reused.
         drop(answer.read_complete().await);
         return Attempt::NotRun(status);
     }
     if stream::is_event_stream(answer.response.headers()) && answer.response.status().is_success() {
-        return Attempt::Answered(Answered::Stream(answer));
+        let open = OpenStream { answer, run };
+        return Attempt::Answered(Answered::Stream(Box::new(open)));
     }
     match answer.read_complete().await {
-        Ok(answer) => Attempt::Answered(Answered::Complete(
-            answer.status,
-            answer.headers,
-            answer.body,
-        )),
-        Err(error) => Attempt::Lost(error),
+        Ok(answer) => {
+            run.complete();
+            Attempt::Answered(Answered::Complete(
+                answer.status,
+                answer.headers,
+                answer.body,
+            ))
+        }
+        Err(error) => {
+            run.lose(Loss::Broken);
+            Attempt::Lost(error)
+        }
     }
 }
 
@@ -463,12 +522,7 @@
     }
 }
 
-fn deliver(
-    gateway: &Arc<Gateway>,
-    call: &Call<'_>,
-    endpoint: Endpoint,
-    answered: Answered,
-) -> Answer {
+fn deliver(gateway: &Arc<Gateway>, call: &Call<'_>, answered: Answered) -> Answer {
     match answered {
         Answered::Complete(status, mut headers, body) => {
             remove_hop_by_hop_headers(&mut headers);
@@ -478,6 +532,6 @@
             *answer.headers_mut() = headers;
             answer
         }
-        Answered::Stream(open) => stream::deliver(gateway, call, endpoint, open),
+        Answered::Stream(open) => stream::deliver(gateway, call, *open),
     }
 }
--- a/wisteriaford_gateway/src/metrics.rs
+++ b/wisteriaford_gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub(crate) orders: Counter<u64>,
     pub(crate) moved_items: Counter<u64>,
     pub(crate) relayed_calls: Counter<u64>,
+    pub(crate) endpoint_crashes: Counter<u64>,
+    pub(crate) crash_reports: Counter<u64>,
     refusals: Counter<u64>,
     call_ms: Histogram<f64>,
     submit_ms: Histogram<f64>,
@@ -66,6 +68,14 @@
             orders: counter("wisteriaford_orders", "Orders to engines."),
             moved_items: counter("wisteriaford_moved_items", "Items taken from slow engines."),
             relayed_calls: counter("wisteriaford_relayed_calls", "Calls of the log for peers."),
+            endpoint_crashes: counter(
+                "wisteriaford_endpoint_crashes",
+                "Endpoints seen to have crashed.",
+            ),
+            crash_reports: counter(
+                "wisteriaford_crash_reports",
+                "Reports of requests that may have crashed endpoints.",
+            ),
             refusals: counter(
                 "wisteriaford_refusals",
                 "Refused or failed requests by reason.",
--- a/wisteriaford_gateway/src/peers.rs
+++ b/wisteriaford_gateway/src/peers.rs
@@ -1,4 +1,4 @@
-//! Discovery of the other instances and the server for their relayed calls.
+//! Discovery of the other instances and the server for their relayed calls and crash reports.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,6 +21,8 @@
 use crate::adapter::LogRecord;
 use crate::adapter::Topic;
 use crate::clock;
+use crate::crash_reports;
+use crate::crash_reports::REPORTS_PATH;
 use crate::follow::Follower;
 use crate::refusal::Answer;
 use crate::refusal::empty_answer;
@@ -127,7 +129,7 @@
     }
 }
 
-/// Serves relayed calls until the process ends.
+/// Serves relayed calls and crash reports until the process ends.
 pub(crate) async fn serve(gateway: Arc<Gateway>, address: SocketAddr) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
@@ -144,7 +146,9 @@
 }
 
 async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Answer {
-    if request.uri().path() != RELAY_PATH {
+    let path = request.uri().path();
+    let are_reports = path == REPORTS_PATH;
+    if path != RELAY_PATH && !are_reports {
         return empty_answer(StatusCode::NOT_FOUND);
     }
     let max_bytes = gateway.log.limits().max_append_bytes + CALL_OVERHEAD_BYTES;
@@ -156,6 +160,9 @@
             return empty_answer(StatusCode::BAD_REQUEST);
         }
     };
+    if are_reports {
+        return empty_answer(crash_reports::receive(gateway, &body));
+    }
     let (topic, call) = match relay_message::decode_call(&body) {
         Ok(decoded) => decoded,
         Err(error) => {
--- a/wisteriaford_gateway/src/refusal.rs
+++ b/wisteriaford_gateway/src/refusal.rs
@@ -51,6 +51,9 @@
     /// An endpoint may have run the request, but its answer was lost.
     #[display("answer_lost")]
     AnswerLost,
+    /// The request crashed the endpoints that ran it; it was not sent to another one.
+    #[display("quarantined")]
+    Quarantined,
     /// The caller's deadline or the route's timeout passed.
     #[display("deadline")]
     Deadline,
@@ -79,6 +82,7 @@
             Self::NoRoutesKnown
             | Self::NoEndpoint
             | Self::EndpointsFull
+            | Self::Quarantined
             | Self::LogUnavailable
             | Self::NotCurrent => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
--- a/wisteriaford_gateway/src/relay_message.rs
+++ b/wisteriaford_gateway/src/relay_message.rs
@@ -239,6 +239,7 @@
         Topic::Instances => proto::Topic::Instances,
         Topic::Contents => proto::Topic::Contents,
         Topic::Progress => proto::Topic::Progress,
+        Topic::Quarantine => proto::Topic::Quarantine,
     }
 }
 
@@ -252,5 +253,6 @@
         proto::Topic::Instances => Topic::Instances,
         proto::Topic::Contents => Topic::Contents,
         proto::Topic::Progress => Topic::Progress,
+        proto::Topic::Quarantine => Topic::Quarantine,
     })
 }
--- /dev/null
+++ b/wisteriaford_gateway/src/run.rs
@@ -0,0 +1,232 @@
+//! Runs of requests at endpoints: whether they may start, and how they end.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::suspects::Admission;
+use wisteriaford_core::gateway::suspects::CrashSign;
+use wisteriaford_core::gateway::suspects::LOST_SILENCE;
+use wisteriaford_core::gateway::suspects::Loss;
+use wisteriaford_core::gateway::suspects::LostRun;
+use wisteriaford_core::gateway::suspects::crash_id;
+use wisteriaford_core::id::EndpointId;
+use wisteriaford_core::id::Fingerprint;
+use wisteriaford_core::time::Timestamp;
+
+use crate::clock;
+use crate::crash_reports;
+use crate::state::Gateway;
+
+/// Delay of the probe of an endpoint whose connection broke, in which a crashed process closes its
+/// port as well.
+const PROBE_DELAY: Duration = Duration::from_millis(20);
+/// Time limit for connecting to a probed endpoint.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// `Retry-After` of a request whose trial another instance holds, or that can't acquire one.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Permission to run a request once; a repeat that may only run alone is refused until it is dropped.
+pub(crate) struct RunPermit {
+    gateway: Arc<Gateway>,
+    alone: Option<Fingerprint>,
+}
+
+impl RunPermit {
+    /// Returns the permission of a request that [`Suspects::admit`] admitted.
+    ///
+    /// [`Suspects::admit`]: wisteriaford_core::gateway::suspects::Suspects::admit
+    pub(crate) fn admitted(gateway: &Arc<Gateway>, fingerprint: Fingerprint, alone: bool) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            alone: alone.then_some(fingerprint),
+        }
+    }
+
+    /// Returns whether the request may run only alone. It is not retried then: whether its endpoint
+    /// crashed again is known a little later.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.alone.is_some()
+    }
+}
+
+impl Drop for RunPermit {
+    fn drop(&mut self) {
+        if let Some(fingerprint) = self.alone {
+            self.gateway.suspects().end_alone(fingerprint);
+        }
+    }
+}
+
+/// Returns the permission to run a request once, or the time until it may be sent again.
+pub(crate) async fn admit(
+    gateway: &Arc<Gateway>,
+    fingerprint: Fingerprint,
+) -> Result<RunPermit, Duration> {
+    let admission = gateway.suspects().admit(clock::now(), fingerprint);
+    let permit = |alone| RunPermit::admitted(gateway, fingerprint, alone);
+    match admission {
+        Admission::Run => Ok(permit(false)),
+        Admission::RunAlone => Ok(permit(true)),
+        Admission::RunOnTrial => {
+            let permit = permit(true);
+            let is_acquired = crash_reports::acquire_trial(gateway, fingerprint).await;
+            is_acquired.then_some(permit).ok_or(TRIAL_RETRY_AFTER)
+        }
+        Admission::Refuse { retry_after } => Err(retry_after),
+    }
+}
+
+/// Run of a request at an endpoint, from sending it to the end of the answer.
+///
+/// A run that is dropped while nothing has come for long counts as lost: the caller has left, or its
+/// deadline has passed.
+pub(crate) struct Run {
+    permit: RunPermit,
+    endpoint: Endpoint,
+    fingerprint: Fingerprint,
+    began_at: Timestamp,
+    last_output_at: Timestamp,
+    progressed: bool,
+    reports_drop: bool,
+    has_ended: bool,
+}
+
+impl Run {
+    /// Begins a run.
+    pub(crate) fn begin(endpoint: &Endpoint, fingerprint: Fingerprint, permit: RunPermit) -> Self {
+        let now = clock::now();
+        Self {
+            permit,
+            endpoint: endpoint.clone(),
+            fingerprint,
+            began_at: now,
+            last_output_at: now,
+            progressed: false,
+            reports_drop: true,
+            has_ended: false,
+        }
+    }
+
+    /// Lets the run be dropped at any time without counting as lost.
+    pub(crate) fn ignore_drop(&mut self) {
+        self.reports_drop = false;
+    }
+
+    /// Returns whether the request may run only alone.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.permit.is_alone()
+    }
+
+    /// Returns the endpoint that the request runs at.
+    pub(crate) fn endpoint(&self) -> &EndpointId {
+        &self.endpoint.id
+    }
+
+    /// Records that output has arrived.
+    pub(crate) fn record_output(&mut self) {
+        self.last_output_at = clock::now();
+        self.progressed = true;
+    }
+
+    /// Ends the run with a complete answer.
+    pub(crate) fn complete(mut self) {
+        self.has_ended = true;
+        let gateway = &self.permit.gateway;
+        let mut suspects = gateway.suspects();
+        let is_cleared = suspects.record_completed(clock::now(), self.fingerprint);
+        drop(suspects);
+        if is_cleared {
+            log::info!(
+                fingerprint:% = self.fingerprint, endpoint:% = self.endpoint.id;
+                "request completed, crashes no longer count against it"
+            );
+            gateway.reports_wake.notify_one();
+        }
+    }
+
+    /// Ends the run without a conclusion about the request.
+    pub(crate) fn dismiss(&mut self) {
+        self.has_ended = true;
+    }
+
+    /// Ends the run without an answer.
+    pub(crate) fn lose(mut self, loss: Loss) {
+        self.record_loss(loss);
+    }
+
+    fn record_loss(&mut self, loss: Loss) {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return;
+        }
+        let gateway = &self.permit.gateway;
+        let view = gateway.view.load();
+        let endpoint = view.endpoints.get(&self.endpoint.id);
+        let endpoint = endpoint.unwrap_or(&self.endpoint);
+        let run = LostRun {
+            fingerprint: self.fingerprint,
+            began_at: self.began_at,
+            ended_at: clock::now(),
+            progressed: self.progressed,
+            loss,
+        };
+        gateway.suspects().record_lost(endpoint, run);
+        gateway.reports_wake.notify_one();
+        log::info!(
+            fingerprint:% = self.fingerprint, endpoint:% = self.endpoint.id, loss:? = loss,
+            progressed = self.progressed, leaving = endpoint.leaving,
+            took_ms = run.ended_at.since(run.began_at).as_millis();
+            "run lost, its endpoint may have crashed"
+        );
+        if loss == Loss::Broken && gateway.begin_probe(&self.endpoint) {
+            tokio::spawn(probe(Arc::clone(gateway), self.endpoint.clone()));
+        }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let is_open = self.reports_drop && !self.has_ended;
+        if is_open && clock::now().since(self.last_output_at) >= LOST_SILENCE {
+            self.record_loss(Loss::Silent);
+        }
+    }
+}
+
+/// Finds out whether an endpoint crashed: nothing listens then at its address.
+async fn probe(gateway: Arc<Gateway>, endpoint: Endpoint) {
+    tokio::time::sleep(PROBE_DELAY).await;
+    let connect = TcpStream::connect(endpoint.address);
+    let connected = tokio::time::timeout(PROBE_TIMEOUT, connect).await;
+    gateway.end_probe(&endpoint);
+    if let Ok(Err(error)) = connected
+        && error.kind() == io::ErrorKind::ConnectionRefused
+    {
+        record_crash(&gateway, &endpoint, CrashSign::Refused);
+    }
+}
+
+/// Records that an endpoint crashed.
+pub(crate) fn record_crash(gateway: &Gateway, endpoint: &Endpoint, sign: CrashSign) {
+    let effect = gateway
+        .suspects()
+        .record_crash(clock::now(), endpoint, sign);
+    let Some(effect) = effect else {
+        return;
+    };
+    gateway.metrics.endpoint_crashes.add(1, &[]);
+    log::info!(
+        endpoint:% = endpoint.id, crash:% = crash_id(endpoint), sign:? = sign,
+        lost_runs = effect.lost_runs;
+        "endpoint crashed"
+    );
+    for fingerprint in effect.refused {
+        log::warn!(
+            fingerprint:% = fingerprint, endpoint:% = endpoint.id;
+            "request quarantined, it crashes endpoints"
+        );
+    }
+    gateway.reports_wake.notify_one();
+}
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -14,7 +14,6 @@
 use indexmap::IndexSet;
 use tokio::task::AbortHandle;
 use wisteriaford_core::gateway::endpoint::Endpoint;
-use wisteriaford_core::gateway::fingerprint::item_fingerprint;
 use wisteriaford_core::gateway::job::JobHead;
 use wisteriaford_core::gateway::record;
 use wisteriaford_core::gateway::schedule::DispatchContext;
@@ -23,6 +22,7 @@
 use wisteriaford_core::gateway::schedule::RunOutcome;
 use wisteriaford_core::gateway::schedule::RunStart;
 use wisteriaford_core::gateway::schedule::may_start_items;
+use wisteriaford_core::gateway::suspects::Loss;
 use wisteriaford_core::id::JobId;
 use wisteriaford_core::id::Version;
 
@@ -34,6 +34,8 @@
 use crate::event_stream::EventReader;
 use crate::forward::InFlightGuard;
 use crate::progress;
+use crate::run::Run;
+use crate::run::RunPermit;
 use crate::state::Gateway;
 use crate::state::lock;
 use crate::state::stopped;
@@ -266,6 +268,7 @@
     schedule.next_starts(
         &context,
         &mut load_balancer,
+        &mut gateway.suspects(),
         |id| gateway.idle_connections(&view, id),
         accepts,
     )
@@ -275,11 +278,16 @@
 async fn run_item(gateway: Arc<Gateway>, start: RunStart) {
     let in_flight = InFlightGuard::from_counted(&gateway, &start.endpoint.id);
     let started = clock::now();
-    let (outcome, cause) = match stream_item(&gateway, &start).await {
+    let permit = RunPermit::admitted(&gateway, start.fingerprint, start.alone);
+    let mut run = Run::begin(&start.endpoint, start.fingerprint, permit);
+    // Items are also stopped when their batch job ends or they move to another engine.
+    run.ignore_drop();
+    let (outcome, cause) = match stream_item(&gateway, &start, &mut run).await {
         Ok(()) => (RunOutcome::Completed, None),
         Err((outcome, cause)) => (outcome, Some(cause)),
     };
     drop(in_flight);
+    end_run(run, outcome);
     let now = clock::now();
     record_outcome(&gateway, &start, outcome);
     let route = {
@@ -293,7 +301,7 @@
         .on_run_ended(now, &start, outcome, max_failures);
     log::info!(
         job:% = start.job.id, item:% = start.item.id,
-        fingerprint:% = item_fingerprint(&start.job, &start.item),
+        fingerprint:% = start.fingerprint,
         endpoint:% = start.endpoint.id, outcome:? = outcome, cause:% = cause.unwrap_or_default(), after_event = start.after_event,
         expected_tokens = start.item.expected_output_tokens, tokens = start.item.tokens,
         events = events, in_flight = start.reason.in_flight, relative_pace = start.reason.relative_pace,
@@ -312,6 +320,18 @@
     gateway.runner_wake.notify_one();
 }
 
+fn end_run(mut run: Run, outcome: RunOutcome) {
+    match outcome {
+        RunOutcome::Completed | RunOutcome::Failed | RunOutcome::Impossible => run.complete(),
+        RunOutcome::Broken => run.lose(Loss::Broken),
+        RunOutcome::Silent => run.lose(Loss::Silent),
+        RunOutcome::Full
+        | RunOutcome::NotRun
+        | RunOutcome::WrongVersion
+        | RunOutcome::Unreachable => run.dismiss(),
+    }
+}
+
 fn record_outcome(gateway: &Gateway, start: &RunStart, outcome: RunOutcome) {
     let now = clock::now();
     let mut load_balancer = gateway.load_balancer();
@@ -333,7 +353,7 @@
     (outcome, compact_str::format_compact!("{cause}"))
 }
 
-async fn stream_item(gateway: &Gateway, start: &RunStart) -> Result<(), RunFailure> {
+async fn stream_item(gateway: &Gateway, start: &RunStart, run: &mut Run) -> Result<(), RunFailure> {
     let request = gateway.endpoints.item_request(start);
     let endpoint = &start.endpoint;
     let opened = gateway
@@ -351,14 +371,20 @@
     let metadata = gateway
         .endpoints
         .decode_answer(answer.response.status(), answer.response.headers());
-    check_head(gateway, start, &answer, &metadata)?;
+    if let Err(failure) = check_head(gateway, start, &answer, &metadata) {
+        run.dismiss();
+        return Err(failure);
+    }
     if !answer.response.status().is_success() {
         let refusal = refusal(gateway, answer.response.status(), metadata.not_run);
+        if refusal.0 == RunOutcome::Broken {
+            run.dismiss();
+        }
         // Reading the unused body of a refusal allows the connection to be reused.
         drop(answer.read_complete().await);
         return Err(refusal);
     }
-    read_events(gateway, start, answer, metadata.version).await
+    read_events(gateway, start, run, answer, metadata.version).await
 }
 
 fn check_head(
@@ -410,6 +436,7 @@
 async fn read_events(
     gateway: &Gateway,
     start: &RunStart,
+    run: &mut Run,
     mut answer: IncomingAnswer,
     mut version: Option<Version>,
 ) -> Result<(), RunFailure> {
@@ -436,18 +463,23 @@
         reader.push(&bytes);
         loop {
             let event = reader.next_event();
-            let event = event.map_err(|error| failure(RunOutcome::Broken, error))?;
+            let event = event.map_err(|error| {
+                run.dismiss();
+                failure(RunOutcome::Broken, error)
+            })?;
             let Some(event) = event else { break };
             let mut named = event.other_lines.iter();
             let named = named.find_map(|line| gateway.endpoints.decode_version_line(line));
             version = named.or(version);
             let Some(id) = event.id else { continue };
+            run.record_output();
             let now = clock::now();
             if !is_loading(gateway, start) {
                 record_pace(gateway, start, now.since(last_event_at));
             }
             last_event_at = now;
             if !gateway.schedule().on_event(start, id, event.data, version) {
+                run.dismiss();
                 return Err(failure(RunOutcome::Broken, "the run is no longer needed"));
             }
         }
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -11,15 +11,21 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use compact_str::CompactString;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use wisteriaford_core::gateway::endpoint::Endpoint;
 use wisteriaford_core::gateway::endpoint::EndpointTable;
 use wisteriaford_core::gateway::job_fold::JobFold;
 use wisteriaford_core::gateway::leadership::Leadership;
 use wisteriaford_core::gateway::load_balancer::LoadBalancer;
 use wisteriaford_core::gateway::route::RouteTable;
 use wisteriaford_core::gateway::schedule::Schedule;
+use wisteriaford_core::gateway::suspects::StoredKeys;
+use wisteriaford_core::gateway::suspects::Suspects;
+use wisteriaford_core::gateway::suspects::crash_id;
 use wisteriaford_core::gateway::weights::WeightPlan;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::ModelId;
@@ -113,6 +119,10 @@
     pub(crate) contents: ContentCache,
     pub(crate) jobs_changed: watch::Sender<u64>,
     pub(crate) runner_wake: Notify,
+    /// Wakes the task that sends crash reports.
+    pub(crate) reports_wake: Notify,
+    /// Offset after the last record of the quarantine topic that was read.
+    pub(crate) quarantine_read_to: AtomicU64,
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) leaving: AtomicBool,
     pub(crate) requests_in_progress: AtomicUsize,
@@ -121,7 +131,11 @@
     leadership: Mutex<Leadership>,
     schedule: Mutex<Schedule>,
     plan: Mutex<WeightPlan>,
-    freshness: [Freshness; 7],
+    suspects: Mutex<Suspects>,
+    stored_reports: Mutex<StoredKeys>,
+    /// Crashes that are being probed for.
+    probes: Mutex<IndexSet<CompactString>>,
+    freshness: [Freshness; 8],
     name_counter: AtomicU64,
 }
 
@@ -152,6 +166,8 @@
             contents: ContentCache::default(),
             jobs_changed: watch::Sender::new(0),
             runner_wake: Notify::new(),
+            reports_wake: Notify::new(),
+            quarantine_read_to: AtomicU64::new(0),
             stop,
             leaving: AtomicBool::new(false),
             requests_in_progress: AtomicUsize::new(0),
@@ -160,6 +176,9 @@
             leadership: Mutex::new(leadership),
             schedule: Mutex::default(),
             plan: Mutex::default(),
+            suspects: Mutex::default(),
+            stored_reports: Mutex::default(),
+            probes: Mutex::default(),
             freshness: Default::default(),
             name_counter: AtomicU64::new(0),
         }
@@ -185,6 +204,24 @@
         lock(&self.plan)
     }
 
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
+    /// Returns the keys of the quarantine topic.
+    pub(crate) fn stored_reports(&self) -> MutexGuard<'_, StoredKeys> {
+        lock(&self.stored_reports)
+    }
+
+    /// Begins a probe of an endpoint; returns `false` if one is in progress.
+    pub(crate) fn begin_probe(&self, endpoint: &Endpoint) -> bool {
+        lock(&self.probes).insert(crash_id(endpoint))
+    }
+
+    pub(crate) fn end_probe(&self, endpoint: &Endpoint) {
+        lock(&self.probes).swap_remove(&crash_id(endpoint));
+    }
+
     pub(crate) fn freshness(&self, topic: Topic) -> &Freshness {
         &self.freshness[topic as usize]
     }
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -15,6 +15,7 @@
 use wisteriaford_core::gateway::load_balancer::CALL_COSTS;
 use wisteriaford_core::gateway::load_balancer::SelectionCriteria;
 use wisteriaford_core::gateway::route::Route;
+use wisteriaford_core::gateway::suspects::Loss;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::Fingerprint;
 use wisteriaford_core::id::PoolId;
@@ -30,6 +31,10 @@
 use crate::forward::build_request;
 use crate::forward::remove_hop_by_hop_headers;
 use crate::refusal::Answer;
+use crate::refusal::Reason;
+use crate::run;
+use crate::run::Run;
+use crate::run::RunPermit;
 use crate::state::Gateway;
 
 /// Maximum number of events that are buffered for a slow caller.
@@ -46,6 +51,12 @@
     text.is_some_and(|text| text.starts_with("text/event-stream"))
 }
 
+/// Stream of an endpoint whose head has arrived.
+pub(crate) struct OpenStream {
+    pub(crate) answer: IncomingAnswer,
+    pub(crate) run: Run,
+}
+
 /// Call whose answer is a stream that is being forwarded.
 struct StreamedCall {
     gateway: Arc<Gateway>,
@@ -72,16 +83,11 @@
 
 /// Returns an answer that forwards a stream; a resumable stream that fails is resumed at another
 /// endpoint.
-pub(crate) fn deliver(
-    gateway: &Arc<Gateway>,
-    call: &Call<'_>,
-    endpoint: Endpoint,
-    open: IncomingAnswer,
-) -> Answer {
-    let mut headers = open.response.headers().clone();
+pub(crate) fn deliver(gateway: &Arc<Gateway>, call: &Call<'_>, open: OpenStream) -> Answer {
+    let mut headers = open.answer.response.headers().clone();
     remove_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
-    let status = open.response.status();
+    let status = open.answer.response.status();
     let streamed = StreamedCall {
         gateway: Arc::clone(gateway),
         head: call.head.clone(),
@@ -91,11 +97,11 @@
         body: call.body.clone(),
         fingerprint: call.fingerprint,
         deadline: call.deadline,
-        tried: vec![endpoint.id.clone()],
+        tried: vec![open.run.endpoint().clone()],
         last_event: call.head.after_event,
     };
     let (sender, receiver) = mpsc::channel(BUFFERED_EVENTS);
-    tokio::spawn(forward_stream(streamed, endpoint, open, sender));
+    tokio::spawn(forward_stream(streamed, open, sender));
     let frames = futures_util::stream::unfold(receiver, |mut receiver| async move {
         receiver.recv().await.map(|frame| (frame, receiver))
     });
@@ -107,22 +113,22 @@
 
 type FrameSender = mpsc::Sender<Result<Frame<Bytes>, CallError>>;
 
-async fn forward_stream(
-    mut call: StreamedCall,
-    mut endpoint: Endpoint,
-    mut open: IncomingAnswer,
-    sender: FrameSender,
-) {
+async fn forward_stream(mut call: StreamedCall, mut open: OpenStream, sender: FrameSender) {
     loop {
-        call.gateway.load_balancer().record_start(&endpoint.id);
-        let in_flight = InFlightGuard::from_counted(&call.gateway, &endpoint.id);
-        let end = forward_part(&mut call, open, &sender).await;
+        let OpenStream { answer, mut run } = open;
+        let endpoint = run.endpoint().clone();
+        call.gateway.load_balancer().record_start(&endpoint);
+        let in_flight = InFlightGuard::from_counted(&call.gateway, &endpoint);
+        let end = forward_part(&mut call, answer, &mut run, &sender).await;
         drop(in_flight);
         let error = match end {
-            PartEnd::Complete => return,
+            PartEnd::Complete => {
+                run.complete();
+                return;
+            }
             PartEnd::CallerDisconnected => {
                 log::info!(
-                    request:% = call.head.request, endpoint:% = endpoint.id;
+                    request:% = call.head.request, endpoint:% = endpoint;
                     "caller disconnected from stream"
                 );
                 return;
@@ -131,24 +137,35 @@
         };
         log::info!(
             request:% = call.head.request, fingerprint:% = call.fingerprint,
-            endpoint:% = endpoint.id, error:% = error, last_event = call.last_event;
+            endpoint:% = endpoint, error:% = error, last_event = call.last_event;
             "stream failed"
         );
         call.gateway
             .load_balancer()
-            .record_failure(clock::now(), &endpoint.id);
-        let Some((next, answer)) = resume(&mut call).await else {
+            .record_failure(clock::now(), &endpoint);
+        let is_alone = run.is_alone();
+        run.lose(match error {
+            CallError::Timeout => Loss::Silent,
+            CallError::Unreachable { .. } | CallError::Lost { .. } => Loss::Broken,
+        });
+        let next = if is_alone {
+            None
+        } else {
+            resume(&mut call).await
+        };
+        let Some(next) = next else {
             // The error keeps the caller from taking the truncated stream for a complete one.
             drop(sender.send(Err(error)).await);
             return;
         };
-        (endpoint, open) = (next, answer);
+        open = next;
     }
 }
 
 async fn forward_part(
     call: &mut StreamedCall,
     mut open: IncomingAnswer,
+    run: &mut Run,
     sender: &FrameSender,
 ) -> PartEnd {
     let mut reader = EventReader::default();
@@ -180,8 +197,12 @@
             let event = match reader.next_event() {
                 Ok(Some(event)) => event,
                 Ok(None) => break,
-                Err(error) => return PartEnd::Failed(CallError::lost(error)),
+                Err(error) => {
+                    run.dismiss();
+                    return PartEnd::Failed(CallError::lost(error));
+                }
             };
+            run.record_output();
             if event.id.is_some() && event.id <= call.last_event {
                 continue;
             }
@@ -195,10 +216,11 @@
 }
 
 /// Resumes the stream at another endpoint, after the last event sent to the caller.
-async fn resume(call: &mut StreamedCall) -> Option<(Endpoint, IncomingAnswer)> {
+async fn resume(call: &mut StreamedCall) -> Option<OpenStream> {
     let max_attempts = usize::try_from(call.route.max_attempts).unwrap_or(usize::MAX);
     while call.route.is_resumable() && call.tried.len() < max_attempts {
         tokio::time::sleep(RESUME_BACKOFF).await;
+        let permit = admit(call).await?;
         let endpoint = choose(call)?;
         call.tried.push(endpoint.id.clone());
         let request = {
@@ -216,11 +238,19 @@
         let client = &call.gateway.client;
         let opened = client.open(endpoint.id.as_str(), endpoint.address, request, true);
         let remaining = call.deadline.since(clock::now()).min(SILENCE_TIMEOUT);
-        let Ok(Ok(answer)) = tokio::time::timeout(remaining, opened).await else {
-            call.gateway
-                .load_balancer()
-                .record_unreachable(clock::now(), &endpoint.id);
-            continue;
+        let mut run = Run::begin(&endpoint, call.fingerprint, permit);
+        let answer = match tokio::time::timeout(remaining, opened).await {
+            Ok(Ok(answer)) => answer,
+            failure => {
+                match failure {
+                    Ok(Err(CallError::Lost { .. })) => run.lose(Loss::Broken),
+                    Ok(_) => run.dismiss(),
+                    Err(_) => run.lose(Loss::Silent),
+                }
+                let mut load_balancer = call.gateway.load_balancer();
+                load_balancer.record_unreachable(clock::now(), &endpoint.id);
+                continue;
+            }
         };
         let response = &answer.response;
         if response.status().is_success() && is_event_stream(response.headers()) {
@@ -229,12 +259,27 @@
                 after_event = call.last_event;
                 "stream resumed"
             );
-            return Some((endpoint, answer));
+            return Some(OpenStream { answer, run });
         }
+        run.dismiss();
     }
     None
 }
 
+/// Returns the permission to resume the stream, unless its request crashes endpoints.
+async fn admit(call: &StreamedCall) -> Option<RunPermit> {
+    let admitted = run::admit(&call.gateway, call.fingerprint).await;
+    if admitted.is_err() {
+        log::warn!(
+            request:% = call.head.request, fingerprint:% = call.fingerprint,
+            last_event = call.last_event;
+            "stream not resumed, its request crashed endpoints"
+        );
+        call.gateway.metrics.record_refusal(Reason::Quarantined);
+    }
+    admitted.ok()
+}
+
 fn choose(call: &StreamedCall) -> Option<Endpoint> {
     let view = call.gateway.view.load();
     let query = SelectionCriteria {
--- a/wisteriaford_proto/src/lib.rs
+++ b/wisteriaford_proto/src/lib.rs
@@ -56,3 +56,9 @@
 pub mod relay {
     include!("generated/wisteriaford.relay.rs");
 }
+
+/// Crash reports shared by gateways.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+pub mod quarantine {
+    include!("generated/wisteriaford.quarantine.rs");
+}
--- a/wisteriaford_schema/src/main.rs
+++ b/wisteriaford_schema/src/main.rs
@@ -7,7 +7,7 @@
 
 const SCHEMA_DIR: &str = "wisteriaford_proto/proto";
 const OUTPUT_DIR: &str = "wisteriaford_proto/src/generated";
-const SCHEMAS: [&str; 9] = [
+const SCHEMAS: [&str; 10] = [
     "wisteriaford/settings.proto",
     "wisteriaford/record.proto",
     "wisteriaford/membership.proto",
@@ -17,6 +17,7 @@
     "wisteriaford/peer.proto",
     "wisteriaford/job.proto",
     "wisteriaford/relay.proto",
+    "wisteriaford/quarantine.proto",
 ];
 
 fn main() -> Result<(), Box<dyn Error>> {
--- a/wisteriaford_standins/src/platform_endpoint.rs
+++ b/wisteriaford_standins/src/platform_endpoint.rs
@@ -229,9 +229,13 @@
 }
 
 impl Service for PlatformEndpoint {
-    fn handle(&self, request: &Request, connection: &mut Connection) -> Result<Reply> {
+    fn accepts(&self, request: &Request) -> bool {
         let expected_id = request.headers.get("x-expect-instance");
-        if expected_id.is_some_and(|expected_id| *expected_id != self.settings.id) {
+        expected_id.is_none_or(|expected_id| *expected_id == self.settings.id)
+    }
+
+    fn handle(&self, request: &Request, connection: &mut Connection) -> Result<Reply> {
+        if !self.accepts(request) {
             return Ok(Reply::Json(421, json!({})));
         }
         match (request.method.as_str(), request.path.as_str()) {
--- a/wisteriaford_standins/src/server.rs
+++ b/wisteriaford_standins/src/server.rs
@@ -58,6 +58,11 @@
     /// Handles a request.
     fn handle(&self, request: &Request, connection: &mut Connection) -> Result<Reply>;
 
+    /// Returns whether the service would process a request, so that a marker in it has an effect.
+    fn accepts(&self, _request: &Request) -> bool {
+        true
+    }
+
     /// Resets the service's state when it restarts after a crash.
     fn restart(&self) {}
 }
@@ -250,7 +255,8 @@
     if !connection.sleep(Duration::from_millis(faults.slow_ms)) {
         return false;
     }
-    if contains_marker(&request.body, &faults.crash_marker) {
+    let has_marker = contains_marker(&request.body, &faults.crash_marker);
+    if has_marker && shared.service.accepts(request) {
         crash(shared);
         return false;
     }
