Try other endpoints when some can't be connected to

Cause: an endpoint that nothing could be sent to counted as one of the route's attempts, which limit the endpoints that a request is sent to; and an endpoint known to have crashed was chosen again after 0.4 s.

Evidence: lines 'endpoint unreachable' for p0 and p1, then 'call ended ... endpoints_full', with p2 to p5 up and never tried.

--- a/wisteriaford_core/src/gateway.rs
+++ b/wisteriaford_core/src/gateway.rs
@@ -4,6 +4,7 @@
 //! an instance whose configuration, endpoint list and persistent state come from a shared log.
 //! Nothing in this module performs I/O.
 
+pub mod attempts;
 pub mod endpoint;
 pub mod fingerprint;
 pub mod job;
--- a/wisteriaford_core/src/gateway/load_balancer.rs
+++ b/wisteriaford_core/src/gateway/load_balancer.rs
@@ -256,6 +256,11 @@
         self.record_failure(now, endpoint);
     }
 
+    /// Records that an endpoint crashed, which ejects it for as long as it may take to return.
+    pub fn record_crash(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        self.stats_mut(endpoint).ejected_until = now + MAX_EJECTION;
+    }
+
     /// Records that an endpoint refused a request as full, and skips it for a short time.
     pub fn record_full(&mut self, now: Timestamp, endpoint: &EndpointId) {
         self.stats_mut(endpoint).full_until = now + FULL_BACKOFF;
--- a/wisteriaford_gateway/src/directory.rs
+++ b/wisteriaford_gateway/src/directory.rs
@@ -187,10 +187,10 @@
         match change {
             EndpointChange::Unchanged => return,
             EndpointChange::Restarted => {
-                self.gateway.load_balancer().forget(&id);
                 if let Some(before) = before {
                     run::record_crash(&self.gateway, &before, CrashSign::EntryReplaced);
                 }
+                self.gateway.load_balancer().forget(&id);
             }
             _ => {}
         }
@@ -216,10 +216,10 @@
     /// Handles the end of an endpoint that crashed, or of one that left without notice: that one
     /// still finishes its runs, so that none is lost.
     fn forget_removed(&self, endpoint: &Endpoint) {
-        self.gateway.load_balancer().forget(&endpoint.id);
         if !endpoint.leaving {
             run::record_crash(&self.gateway, endpoint, CrashSign::EntryReplaced);
         }
+        self.gateway.load_balancer().forget(&endpoint.id);
     }
 
     /// Puts a table in force unless it already is.
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -17,6 +17,7 @@
 use http::StatusCode;
 use http::header;
 use http::request::Parts;
+use wisteriaford_core::gateway::attempts::Attempts;
 use wisteriaford_core::gateway::endpoint::Endpoint;
 use wisteriaford_core::gateway::fingerprint::call_fingerprint;
 use wisteriaford_core::gateway::load_balancer::CALL_COSTS;
@@ -113,9 +114,8 @@
 }
 
 /// State of a call across its attempts.
-#[derive(Default)]
 struct CallState {
-    tried: Vec<EndpointId>,
+    attempts: Attempts,
     may_have_run: bool,
     /// Whether the last attempt was one of a request that may run only alone.
     alone: bool,
@@ -124,6 +124,18 @@
     failure: Option<Answered>,
 }
 
+impl CallState {
+    fn new(route: &Route) -> Self {
+        Self {
+            attempts: Attempts::new(route.max_attempts),
+            may_have_run: false,
+            alone: false,
+            retry_after: None,
+            failure: None,
+        }
+    }
+}
+
 /// Forwards a call and returns its answer.
 pub(crate) async fn forward(
     gateway: &Arc<Gateway>,
@@ -149,7 +161,7 @@
         body,
         deadline: arrived + time,
     };
-    let mut state = CallState::default();
+    let mut state = CallState::new(route);
     let finished = tokio::time::timeout(time, run_attempts(gateway, &call, &mut state)).await;
     let result = finished.unwrap_or(Err(Reason::Deadline));
     let elapsed = clock::now().since(arrived);
@@ -178,7 +190,8 @@
     result: &Result<(Endpoint, Answered), Reason>,
     elapsed: Duration,
 ) {
-    let tried: Vec<&str> = state.tried.iter().map(EndpointId::as_str).collect();
+    let tried = state.attempts.tried().iter();
+    let tried: Vec<&str> = tried.map(EndpointId::as_str).collect();
     let tried = tried.join(",");
     let outcome: CompactString = match result {
         Ok((_, answered)) => compact_str::format_compact!("{}", answered.status().as_u16()),
@@ -284,6 +297,7 @@
             Ok(None)
         }
         Attempt::Unreachable(error) => {
+            state.attempts.record_unreachable();
             log::info!(
                 request:% = call.head.request, endpoint:% = endpoint.id, error:% = error;
                 "endpoint unreachable"
@@ -310,7 +324,7 @@
     if state.may_have_run {
         return Err(Reason::AnswerLost);
     }
-    Err(if state.tried.is_empty() {
+    Err(if state.attempts.tried().is_empty() {
         Reason::NoEndpoint
     } else {
         Reason::EndpointsFull
@@ -319,14 +333,13 @@
 
 /// Chooses the endpoint of the next attempt and registers the attempt with the load balancer.
 fn next_endpoint(gateway: &Gateway, call: &Call<'_>, state: &mut CallState) -> Option<Endpoint> {
-    let max_attempts = usize::try_from(call.route.max_attempts).unwrap_or(usize::MAX);
-    if state.tried.len() >= max_attempts.max(1) {
+    if !state.attempts.may_try() {
         return None;
     }
     let view = gateway.view.load();
     let query = SelectionCriteria {
         pool: call.pool,
-        tried: &state.tried,
+        tried: state.attempts.tried(),
         affinity: None,
         max_in_flight: None,
         allow_unavailable: true,
@@ -343,7 +356,7 @@
         forced = reason.forced;
         "endpoint chosen"
     );
-    state.tried.push(endpoint.id.clone());
+    state.attempts.record(endpoint.id.clone());
     Some(endpoint.clone())
 }
 
--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -217,6 +217,9 @@
         return;
     };
     gateway.metrics.endpoint_crashes.add(1, &[]);
+    gateway
+        .load_balancer()
+        .record_crash(clock::now(), &endpoint.id);
     log::info!(
         endpoint:% = endpoint.id, crash:% = crash_id(endpoint), sign:? = sign,
         lost_runs = effect.lost_runs;
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -11,12 +11,12 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use tokio::sync::mpsc;
+use wisteriaford_core::gateway::attempts::Attempts;
 use wisteriaford_core::gateway::endpoint::Endpoint;
 use wisteriaford_core::gateway::load_balancer::CALL_COSTS;
 use wisteriaford_core::gateway::load_balancer::SelectionCriteria;
 use wisteriaford_core::gateway::route::Route;
 use wisteriaford_core::gateway::suspects::Loss;
-use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::Fingerprint;
 use wisteriaford_core::id::PoolId;
 use wisteriaford_core::time::Timestamp;
@@ -67,7 +67,7 @@
     body: Bytes,
     fingerprint: Fingerprint,
     deadline: Timestamp,
-    tried: Vec<EndpointId>,
+    attempts: Attempts,
     last_event: Option<u64>,
 }
 
@@ -88,6 +88,8 @@
     remove_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     let status = open.answer.response.status();
+    let mut attempts = Attempts::new(call.route.max_attempts);
+    attempts.record(open.run.endpoint().clone());
     let streamed = StreamedCall {
         gateway: Arc::clone(gateway),
         head: call.head.clone(),
@@ -97,7 +99,7 @@
         body: call.body.clone(),
         fingerprint: call.fingerprint,
         deadline: call.deadline,
-        tried: vec![open.run.endpoint().clone()],
+        attempts,
         last_event: call.head.after_event,
     };
     let (sender, receiver) = mpsc::channel(BUFFERED_EVENTS);
@@ -217,12 +219,11 @@
 
 /// Resumes the stream at another endpoint, after the last event sent to the caller.
 async fn resume(call: &mut StreamedCall) -> Option<OpenStream> {
-    let max_attempts = usize::try_from(call.route.max_attempts).unwrap_or(usize::MAX);
-    while call.route.is_resumable() && call.tried.len() < max_attempts {
+    while call.route.is_resumable() && call.attempts.may_try() {
         tokio::time::sleep(RESUME_BACKOFF).await;
         let permit = admit(call).await?;
         let endpoint = choose(call)?;
-        call.tried.push(endpoint.id.clone());
+        call.attempts.record(endpoint.id.clone());
         let request = {
             let forwarded = Call {
                 head: &call.head,
@@ -244,7 +245,10 @@
             failure => {
                 match failure {
                     Ok(Err(CallError::Lost { .. })) => run.lose(Loss::Broken),
-                    Ok(_) => run.dismiss(),
+                    Ok(_) => {
+                        run.dismiss();
+                        call.attempts.record_unreachable();
+                    }
                     Err(_) => run.lose(Loss::Silent),
                 }
                 let mut load_balancer = call.gateway.load_balancer();
@@ -284,7 +288,7 @@
     let view = call.gateway.view.load();
     let query = SelectionCriteria {
         pool: &call.pool,
-        tried: &call.tried,
+        tried: call.attempts.tried(),
         affinity: None,
         max_in_flight: None,
         allow_unavailable: false,
