Count the attempts of a stream from its first endpoint on

A stream that had failed at one endpoint before its first event, and at a second after it, was resumed at a third on a route that allows two (rule BUDGET, on the endpoints of one client attempt).

Cause: the resumption began with a new list of tried endpoints that held only the last one.

Change: the attempts of the call go on with the stream.

Measured: a_stream_runs_at_no_more_endpoints_than_its_route_allows failed before (the stream ran at a third endpoint and was complete) and passes.

--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -168,7 +168,7 @@
     gateway.metrics.record_call_time(elapsed);
     log_outcome(gateway, &call, &state, &result, elapsed);
     match result {
-        Ok((_, answered)) => deliver(gateway, &call, answered),
+        Ok((_, answered)) => deliver(gateway, &call, state.attempts, answered),
         Err(reason) => {
             gateway.metrics.record_refusal(reason);
             let retry_after = state.retry_after.unwrap_or(RETRY_AFTER);
@@ -535,7 +535,12 @@
     }
 }
 
-fn deliver(gateway: &Arc<Gateway>, call: &Call<'_>, answered: Answered) -> Answer {
+fn deliver(
+    gateway: &Arc<Gateway>,
+    call: &Call<'_>,
+    attempts: Attempts,
+    answered: Answered,
+) -> Answer {
     match answered {
         Answered::Complete(status, mut headers, body) => {
             remove_hop_by_hop_headers(&mut headers);
@@ -545,6 +550,6 @@
             *answer.headers_mut() = headers;
             answer
         }
-        Answered::Stream(open) => stream::deliver(gateway, call, *open),
+        Answered::Stream(open) => stream::deliver(gateway, call, attempts, *open),
     }
 }
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -83,13 +83,16 @@
 
 /// Returns an answer that forwards a stream; a resumable stream that fails is resumed at another
 /// endpoint.
-pub(crate) fn deliver(gateway: &Arc<Gateway>, call: &Call<'_>, open: OpenStream) -> Answer {
+pub(crate) fn deliver(
+    gateway: &Arc<Gateway>,
+    call: &Call<'_>,
+    attempts: Attempts,
+    open: OpenStream,
+) -> Answer {
     let mut headers = open.answer.response.headers().clone();
     remove_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     let status = open.answer.response.status();
-    let mut attempts = Attempts::new(call.route.max_attempts);
-    attempts.record(open.run.endpoint().clone());
     let streamed = StreamedCall {
         gateway: Arc::clone(gateway),
         head: call.head.clone(),
