Read routes and endpoints again after a pause before serving requests

A daemon that was frozen for seconds answered the calls that waited for it by the routes and endpoints from before: 200 on a route removed during the pause, and a call sent to an endpoint that had left. Found by asking of each promise whether a test shows it on the platform path (docs/PROMISES.md, 7 and 9); no caller reported it.

Change: pause detection and confirmation move to wisteriaford_core::pause, used by both. The gateway's followers read again at once, requests wait for that (5 ms as a rule, 0.5 s at most, then 503), before they are routed and before each attempt; items start after it. With the log down, 3 s after the pause what was known counts again, as in the product.

--- a/wisteriaford_core/src/instance.rs
+++ b/wisteriaford_core/src/instance.rs
@@ -8,7 +8,6 @@
 mod caches;
 mod callers;
 mod claims;
-mod confirmation;
 mod fleet;
 mod log;
 mod requests;
@@ -46,13 +45,14 @@
 use crate::id::RequestId;
 use crate::id::Revision;
 use crate::instance::caches::TrackedCache;
-use crate::instance::confirmation::Confirmation;
 use crate::lease::Leases;
 use crate::leaving::LeavingEndpoints;
 use crate::limits::Limits;
 use crate::membership::Member;
 use crate::membership::MemberState;
 use crate::membership::Membership;
+use crate::pause::Confirmation;
+use crate::pause::PauseDetector;
 use crate::placement::CoordinatorTable;
 use crate::placement::Rendezvous;
 use crate::quarantine::GOSSIP_POLICY;
@@ -83,8 +83,6 @@
 const SHARES_WINDOW: Duration = Duration::from_secs(60);
 /// Maximum number of claims, of the whole fleet, that are held in memory.
 const MAX_CLAIMS: usize = 500_000;
-/// Time without an event after which the process is considered to have been paused.
-const PAUSE_THRESHOLD: Duration = Duration::from_secs(2);
 /// Time after a pause during which nothing new is sent to endpoints, so that updates can arrive.
 const RESUME_DELAY: Duration = Duration::from_secs(1);
 /// Maximum time between two ticks.
@@ -169,12 +167,11 @@
     append_sequence: u64,
     claim_sequence: u64,
     is_leaving: bool,
-    /// Time of the last handled event.
-    last_event_at: Option<Timestamp>,
+    pauses: PauseDetector,
     /// Time from which new work may be sent to endpoints again after a pause of the process.
     dispatch_resumes_at: Timestamp,
     /// Configuration check that must complete before callers are served after a pause.
-    confirmation: Option<Confirmation>,
+    confirmation: Confirmation,
 }
 
 /// Due times of periodic tasks and of the exit.
@@ -239,9 +236,9 @@
             append_sequence: 0,
             claim_sequence: 0,
             is_leaving: false,
-            last_event_at: None,
+            pauses: PauseDetector::default(),
             dispatch_resumes_at: Timestamp::default(),
-            confirmation: None,
+            confirmation: Confirmation::default(),
             identity,
             options,
         }
@@ -280,13 +277,11 @@
     ///
     /// Endpoints and the platform's instance list are polled again before new work is sent.
     fn detect_pause(&mut self, now: Timestamp) {
-        let last_event_at = self.last_event_at.replace(now);
-        let gap = last_event_at.map_or(Duration::ZERO, |at| now.since(at));
-        if gap < PAUSE_THRESHOLD {
+        let Some(gap) = self.pauses.observe(now) else {
             return;
-        }
+        };
         self.dispatch_resumes_at = now + RESUME_DELAY;
-        self.require_confirmation(now);
+        self.confirmation.require(now);
         self.timers.next_instance_poll = now + RESUME_DELAY;
         self.effects.push(Effect::PollInstances);
         self.coordinator.invalidate_reports(now);
@@ -294,6 +289,11 @@
         self.emit_diagnostic(Diagnostic::Paused { gap_ms });
     }
 
+    /// Returns whether there is a configuration under which requests may be served.
+    fn has_confirmed_configuration(&self) -> bool {
+        self.fold.current().is_some() && !self.confirmation.is_pending()
+    }
+
     /// Lets claims and slot queues act on the changes made by an event.
     fn poll_components(&mut self, now: Timestamp) {
         self.poll_claims(now);
@@ -301,7 +301,7 @@
     }
 
     fn tick(&mut self, now: Timestamp) {
-        self.tick_confirmation(now);
+        self.confirmation.tick(now, self.log_up == Some(false));
         self.tick_fleet(now);
         self.tick_requests(now);
         self.tick_caches(now);
--- a/wisteriaford_core/src/instance/log.rs
+++ b/wisteriaford_core/src/instance/log.rs
@@ -56,7 +56,7 @@
             LogStream::Configuration => {
                 self.apply_current_revision(now, "log");
                 if end.is_none_or(|end| end >= read.next_offset) {
-                    self.record_configuration_read();
+                    self.confirmation.record_read(None);
                 }
             }
             LogStream::Leases => {
--- a/wisteriaford_core/src/lib.rs
+++ b/wisteriaford_core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod leaving;
 pub mod limits;
 pub mod membership;
+pub mod pause;
 pub mod placement;
 pub mod quarantine;
 pub mod refusal;
--- a/wisteriaford_gateway/src/directory.rs
+++ b/wisteriaford_gateway/src/directory.rs
@@ -63,7 +63,7 @@
     }
 
     fn on_caught_up(&mut self, _end: Offset, as_of: Timestamp) {
-        self.gateway.freshness(Topic::Publications).advance(as_of);
+        self.gateway.record_read(Topic::Publications, as_of);
     }
 }
 
@@ -268,7 +268,7 @@
     }
 
     fn on_caught_up(&mut self, _end: Offset, as_of: Timestamp) {
-        self.gateway.freshness(Topic::Endpoints).advance(as_of);
+        self.gateway.record_read(Topic::Endpoints, as_of);
         if self.recovered_at.is_some() && self.grace_end().is_none() {
             self.recovered_at = None;
         }
--- a/wisteriaford_gateway/src/follow.rs
+++ b/wisteriaford_gateway/src/follow.rs
@@ -108,9 +108,18 @@
 ) -> LogError {
     loop {
         let sent = clock::now();
-        let wait = follower.wait();
         let topic = follower.topic();
-        let page = match gateway.log.read(topic, next, wait).await {
+        let wait = if gateway.needs_confirmation(topic) {
+            Duration::ZERO
+        } else {
+            follower.wait()
+        };
+        let read = tokio::select! {
+            read = gateway.log.read(topic, next, wait) => read,
+            // The answer may have been sent before the pause.
+            () = gateway.resumed.notified() => continue,
+        };
+        let page = match read {
             Ok(page) => page,
             Err(error @ LogError::Truncated { .. }) => return error,
             Err(error) => {
@@ -138,7 +147,7 @@
             let as_of = as_of.min(received - ANSWER_ALLOWANCE.min(received.since(sent)));
             follower.on_caught_up(page.end, as_of.max(sent));
         }
-        if !is_empty {
+        if !is_empty && !gateway.needs_confirmation(topic) {
             tokio::time::sleep(follower.pause()).await;
         }
     }
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -249,12 +249,19 @@
 }
 
 /// Returns the permission for the next attempt. A call that crashed the endpoints that ran it is not
-/// sent to another one.
+/// sent to another one, and none is sent before the endpoints were read after a pause.
 async fn admit(
     gateway: &Arc<Gateway>,
     call: &Call<'_>,
     state: &mut CallState,
 ) -> Result<RunPermit, Reason> {
+    if !gateway.wait_until_current().await {
+        return Err(if state.may_have_run {
+            Reason::AnswerLost
+        } else {
+            Reason::NotCurrent
+        });
+    }
     let admitted = run::admit(gateway, call.fingerprint).await;
     state.alone = admitted.as_ref().is_ok_and(RunPermit::is_alone);
     admitted.map_err(|retry_after| {
--- a/wisteriaford_gateway/src/refusal.rs
+++ b/wisteriaford_gateway/src/refusal.rs
@@ -63,7 +63,7 @@
     /// It is unknown whether the log stored the records.
     #[display("log_outcome_unknown")]
     LogOutcomeUnknown,
-    /// The known state of batch jobs is too old.
+    /// The known state of batch jobs is too old, or routes and endpoints are after a pause.
     #[display("not_current")]
     NotCurrent,
     /// The batch job or item does not exist.
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -78,6 +78,8 @@
 /// Opens and closes batch jobs and starts items; returns whether any item runs or waits.
 fn run_pass(gateway: &Arc<Gateway>, runs: &mut Runs, loads: &LoadState) -> bool {
     runs.retain(|_, run| !run.is_finished());
+    // Also notices pauses while there are no requests.
+    let is_current = gateway.is_current();
     let is_leader = gateway
         .leadership()
         .may_run_items(clock::now(), gateway.log.is_isolated());
@@ -97,7 +99,7 @@
         );
         gateway.outbox.push(finished);
     }
-    if !loads.may_start(gateway) {
+    if !is_current || !loads.may_start(gateway) {
         return true;
     }
     let moved = {
--- a/wisteriaford_gateway/src/server.rs
+++ b/wisteriaford_gateway/src/server.rs
@@ -30,7 +30,7 @@
 use crate::state::Gateway;
 use crate::state::stopped;
 
-/// `Retry-After` while the instance has no routes.
+/// `Retry-After` while the instance has no routes, or none that are current.
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time limit for reading a body if the caller sets no deadline.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -138,6 +138,10 @@
         CallerTarget::EndJob { job } => return caller_jobs::end(gateway, &head, job).await,
         CallerTarget::Routed => {}
     }
+    if !gateway.wait_until_current().await {
+        gateway.metrics.record_refusal(Reason::NotCurrent);
+        return refuse(Reason::NotCurrent, Some(NO_ROUTES_RETRY_AFTER));
+    }
     let view = gateway.view.load_full();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let Some(route) = view.routes.find(&head.host, path) else {
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -31,6 +31,8 @@
 use wisteriaford_core::id::ModelId;
 use wisteriaford_core::id::TableVersion;
 use wisteriaford_core::id::Version;
+use wisteriaford_core::pause::Confirmation;
+use wisteriaford_core::pause::PauseDetector;
 use wisteriaford_core::time::Timestamp;
 
 use crate::adapter::CallerProtocol;
@@ -105,6 +107,30 @@
     }
 }
 
+/// Interval of checking whether the reads after a pause are complete; a read takes a few
+/// milliseconds.
+const CURRENT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time after which a request is refused if the reads after a pause are not complete.
+const CURRENT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pauses of the process, and what must be read after one before requests are served.
+#[derive(Debug, Default)]
+struct PauseState {
+    detector: PauseDetector,
+    publications: Confirmation,
+    endpoints: Confirmation,
+}
+
+impl PauseState {
+    fn confirmation(&mut self, topic: Topic) -> Option<&mut Confirmation> {
+        match topic {
+            Topic::Publications => Some(&mut self.publications),
+            Topic::Endpoints => Some(&mut self.endpoints),
+            _ => None,
+        }
+    }
+}
+
 /// Shared state of the gateway's tasks.
 pub(crate) struct Gateway {
     pub(crate) settings: ArcSwap<GatewaySettings>,
@@ -136,6 +162,9 @@
     /// Crashes that are being probed for.
     probes: Mutex<IndexSet<CompactString>>,
     freshness: [Freshness; 8],
+    pause: Mutex<PauseState>,
+    /// Notifies the followers that the process was paused.
+    pub(crate) resumed: Notify,
     name_counter: AtomicU64,
 }
 
@@ -180,6 +209,8 @@
             stored_reports: Mutex::default(),
             probes: Mutex::default(),
             freshness: Default::default(),
+            pause: Mutex::default(),
+            resumed: Notify::new(),
             name_counter: AtomicU64::new(0),
         }
     }
@@ -234,6 +265,61 @@
         })
     }
 
+    /// Returns whether routes and endpoints are current: after a pause of the process, only once they
+    /// have been read again, or if the log is down.
+    pub(crate) fn is_current(&self) -> bool {
+        let now = clock::now();
+        let mut pause = lock(&self.pause);
+        if let Some(gap) = pause.detector.observe(now) {
+            log::warn!(
+                gap_ms = gap.as_millis();
+                "process was paused, reading routes and endpoints again"
+            );
+            pause.publications.require(now);
+            pause.endpoints.require(now);
+            self.resumed.notify_waiters();
+        }
+        if !pause.publications.is_pending() && !pause.endpoints.is_pending() {
+            return true;
+        }
+        for topic in [Topic::Publications, Topic::Endpoints] {
+            let is_down = !self.freshness(topic).is_answering();
+            if let Some(confirmation) = pause.confirmation(topic) {
+                confirmation.tick(now, is_down);
+            }
+        }
+        !pause.publications.is_pending() && !pause.endpoints.is_pending()
+    }
+
+    /// Waits until routes and endpoints are current; returns whether they are in time.
+    pub(crate) async fn wait_until_current(&self) -> bool {
+        let is_current = async {
+            while !self.is_current() {
+                tokio::time::sleep(CURRENT_POLL_INTERVAL).await;
+            }
+        };
+        // Requests don't set a timer while there was no pause.
+        self.is_current()
+            || tokio::time::timeout(CURRENT_TIMEOUT, is_current)
+                .await
+                .is_ok()
+    }
+
+    /// Returns whether a topic must be read again after a pause.
+    pub(crate) fn needs_confirmation(&self, topic: Topic) -> bool {
+        let mut pause = lock(&self.pause);
+        let confirmation = pause.confirmation(topic);
+        confirmation.is_some_and(|confirmation| confirmation.is_pending())
+    }
+
+    /// Records that a topic was read to its end as of a time.
+    pub(crate) fn record_read(&self, topic: Topic, as_of: Timestamp) {
+        self.freshness(topic).advance(as_of);
+        if let Some(confirmation) = lock(&self.pause).confirmation(topic) {
+            confirmation.record_read(Some(as_of));
+        }
+    }
+
     /// Returns a name that is globally unique, across instances and restarts.
     pub(crate) fn unique_name(&self) -> String {
         let number = self.name_counter.fetch_add(1, Ordering::Relaxed);
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -273,8 +273,12 @@
     None
 }
 
-/// Returns the permission to resume the stream, unless its request crashes endpoints.
+/// Returns the permission to resume the stream, unless its request crashes endpoints or the endpoints
+/// could not be read after a pause.
 async fn admit(call: &StreamedCall) -> Option<RunPermit> {
+    if !call.gateway.wait_until_current().await {
+        return None;
+    }
     let admitted = run::admit(&call.gateway, call.fingerprint).await;
     if admitted.is_err() {
         log::warn!(
