Load engines for items that need the newest version

A batch job whose minimum version was the newest one got no result: its items waited for 20 s and more while every engine kept the version before.

Cause: the plan of loads took the version before the newest for usable in any case, and preloads nothing while items wait.

Change: the demand of a model names the oldest version that all its waiting items accept.

--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -284,7 +284,10 @@
             let demand = demand.entry(model.clone()).or_default();
             for item in active.items.values() {
                 match &item.phase {
-                    ItemPhase::Waiting { .. } => demand.waiting += 1,
+                    ItemPhase::Waiting { .. } => {
+                        demand.waiting += 1;
+                        demand.min_version = demand.min_version.max(active.head.min_version);
+                    }
                     ItemPhase::Running { endpoint, .. } => {
                         let running = demand.running.entry(endpoint.clone()).or_default();
                         running.items += 1;
--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -75,6 +75,8 @@
     pub items: u64,
     /// Number of items that are waiting for an engine.
     pub waiting: usize,
+    /// Oldest version that may run all waiting items.
+    pub min_version: Version,
     /// Running items, by engine.
     pub running: IndexMap<EndpointId, RunningItems>,
 }
--- a/wisteriaford_core/src/gateway/weights/candidates.rs
+++ b/wisteriaford_core/src/gateway/weights/candidates.rs
@@ -186,9 +186,11 @@
         wanted_slots: u64,
         all_slots: u64,
     ) -> ModelCandidates<'a> {
-        // The next step accepts the newest version and the one before it.
+        // The next step accepts the newest version and, unless waiting items say otherwise, the one
+        // before it.
         let newest = self.target.version;
         let oldest_usable = Version(newest.0.saturating_sub(MAX_VERSION_LAG));
+        let oldest_usable = oldest_usable.max(demand.min_version).min(newest);
         let is_stable = self.now.since(self.target.since) >= LAZY_LOAD_AFTER;
         let mut candidates = ModelCandidates {
             model: self.model,
--- a/wisteriaford_core/tests/gateway_weights.rs
+++ b/wisteriaford_core/tests/gateway_weights.rs
@@ -366,3 +366,21 @@
         Some(Version(4))
     );
 }
+
+/// Guards against items that wait for good, if their batch job doesn't accept the version before the
+/// newest one.
+#[test]
+fn engines_are_loaded_for_items_that_need_the_newest_version() {
+    let views = views(4, &["m"]);
+    let mut plan = plan(at(0), &views, &[("m", 3)]);
+    plan.set_target(at(1_000), &ModelId::from("m"), Version(4));
+    let mut need = demand(&[("m", 4)]);
+    need[&ModelId::from("m")].waiting = 4;
+
+    let before = orders(&plan.next_actions(at(1_000), &views, &need));
+    need[&ModelId::from("m")].min_version = Version(4);
+    let after = orders(&plan.next_actions(at(1_050), &views, &need));
+
+    assert!(before.is_empty());
+    assert_eq!(after.len(), 1);
+}
