--- a/wisteriaford_standins/src/connection.rs
+++ b/wisteriaford_standins/src/connection.rs
@@ -146,6 +146,20 @@
         self.send(&answer)
     }
 
+    /// Sends an answer that breaks off halfway through its body.
+    pub(crate) fn send_truncated(
+        &mut self,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
+        let fields = encode_headers(headers);
+        let length_bytes = body.len();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length_bytes}\r\n{fields}\r\n");
+        self.send(head.as_bytes())?;
+        self.send(&body[..length_bytes / 2])?;
+        Err(ErrorKind::ConnectionAborted.into())
+    }
+
     /// Sends one chunk, which must not be empty: an empty chunk would end the answer.
     pub(crate) fn send_chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
         let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
--- a/wisteriaford_standins/src/faults.rs
+++ b/wisteriaford_standins/src/faults.rs
@@ -22,6 +22,10 @@
     pub slow_ms: u64,
     /// Number of upcoming requests, not counting `GET`, that take effect but get no answer.
     pub lose_answers: u64,
+    /// Number of upcoming answers whose body breaks off halfway.
+    pub truncate_answers: u64,
+    /// Number of upcoming answers that are followed by an answer to another request.
+    pub extra_answers: u64,
     /// Number of upcoming weight loads that fail.
     pub fail_swaps: u64,
     /// Text that crashes the stand-in if a request body contains it; empty for none.
@@ -51,6 +55,12 @@
     /// See [`FaultSettings::lose_answers`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub lose_answers: Option<u64>,
+    /// See [`FaultSettings::truncate_answers`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub truncate_answers: Option<u64>,
+    /// See [`FaultSettings::extra_answers`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub extra_answers: Option<u64>,
     /// See [`FaultSettings::fail_swaps`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub fail_swaps: Option<u64>,
@@ -79,6 +89,8 @@
         set_if_some(&mut settings.down, self.down);
         set_if_some(&mut settings.slow_ms, self.slow_ms);
         set_if_some(&mut settings.lose_answers, self.lose_answers);
+        set_if_some(&mut settings.truncate_answers, self.truncate_answers);
+        set_if_some(&mut settings.extra_answers, self.extra_answers);
         set_if_some(&mut settings.fail_swaps, self.fail_swaps);
         set_if_some(&mut settings.crash_marker, self.crash_marker);
         set_if_some(&mut settings.silent, self.silent);
@@ -187,6 +199,14 @@
         consume(&mut self.lock().settings.lose_answers)
     }
 
+    pub(crate) fn consume_truncated_answer(&self) -> bool {
+        consume(&mut self.lock().settings.truncate_answers)
+    }
+
+    pub(crate) fn consume_extra_answer(&self) -> bool {
+        consume(&mut self.lock().settings.extra_answers)
+    }
+
     pub(crate) fn consume_failed_swap(&self) -> bool {
         consume(&mut self.lock().settings.fail_swaps)
     }
--- a/wisteriaford_standins/src/platform_endpoint.rs
+++ b/wisteriaford_standins/src/platform_endpoint.rs
@@ -196,7 +196,15 @@
         }
         let body = format!("answer of {}", self.settings.id);
         let headers = [("X-Request-Id", id), ("X-Response-Stamp", SIGNATURE)];
-        Ok(connection.send_bytes(200, &headers, body.as_bytes())?)
+        if self.faults.consume_truncated_answer() {
+            return Ok(connection.send_truncated(&headers, body.as_bytes())?);
+        }
+        connection.send_bytes(200, &headers, body.as_bytes())?;
+        if self.faults.consume_extra_answer() {
+            let headers = [("X-Request-Id", "other"), ("X-Response-Stamp", SIGNATURE)];
+            connection.send_bytes(200, &headers, b"answer to another request")?;
+        }
+        Ok(())
     }
 
     fn stream_events(
@@ -209,11 +217,11 @@
         let last_event_id: u64 = last_event_id
             .and_then(|text| text.parse().ok())
             .unwrap_or(0);
-        let version = self.state().version.to_string();
+        let mut version = self.state().version;
         let headers = [
             ("X-Request-Id", id),
             ("X-Response-Stamp", SIGNATURE),
-            ("X-Weight-Versions", &version),
+            ("X-Weight-Versions", &version.to_string()),
         ];
         connection.begin_chunks_with("text/event-stream", &headers)?;
         for number in last_event_id + 1..=self.settings.events {
@@ -221,7 +229,13 @@
             if !is_running || connection.is_closed() {
                 return Ok(());
             }
-            let event = format!("id: {number}\ndata: {id}-{number}\n\n");
+            let current = self.state().version;
+            let change = if std::mem::replace(&mut version, current) == current {
+                String::new()
+            } else {
+                format!("x-weight-versions: {current}\n")
+            };
+            let event = format!("{change}id: {number}\ndata: {id}-{number}\n\n");
             connection.send_chunk(event.as_bytes())?;
         }
         Ok(connection.end_chunks()?)
