--- a/wisteriaford_gateway/src/metrics.rs
+++ b/wisteriaford_gateway/src/metrics.rs
@@ -70,7 +70,7 @@
             relayed_calls: counter("wisteriaford_relayed_calls", "Calls of the log for peers."),
             endpoint_crashes: counter(
                 "wisteriaford_endpoint_crashes",
-                "Endpoints seen to have crashed.",
+                "Endpoints that ended without notice.",
             ),
             crash_reports: counter(
                 "wisteriaford_crash_reports",
--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -223,7 +223,7 @@
     log::info!(
         endpoint:% = endpoint.id, crash:% = crash_id(endpoint), sign:? = sign,
         lost_runs = effect.lost_runs;
-        "endpoint crashed"
+        "endpoint ended without notice"
     );
     for fingerprint in effect.refused {
         log::warn!(
