--- a/wisteriaford_standins/src/faults.rs
+++ b/wisteriaford_standins/src/faults.rs
@@ -30,6 +30,8 @@
     pub fail_swaps: u64,
     /// Text that crashes the stand-in if a request body contains it; empty for none.
     pub crash_marker: String,
+    /// Whether the marker silences the stand-in instead of crashing it, as if its machine failed.
+    pub marker_silences: bool,
     /// Keep open and new connections open, but send nothing.
     pub silent: bool,
     /// Connections that were open when this was last set to true never send anything again.
@@ -67,6 +69,9 @@
     /// See [`FaultSettings::crash_marker`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub crash_marker: Option<String>,
+    /// See [`FaultSettings::marker_silences`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub marker_silences: Option<bool>,
     /// See [`FaultSettings::silent`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub silent: Option<bool>,
@@ -93,6 +98,7 @@
         set_if_some(&mut settings.extra_answers, self.extra_answers);
         set_if_some(&mut settings.fail_swaps, self.fail_swaps);
         set_if_some(&mut settings.crash_marker, self.crash_marker);
+        set_if_some(&mut settings.marker_silences, self.marker_silences);
         set_if_some(&mut settings.silent, self.silent);
         set_if_some(&mut settings.silent_streams, self.silent_streams);
         set_if_some(&mut settings.ignore_fencing, self.ignore_fencing);
--- a/wisteriaford_standins/src/server.rs
+++ b/wisteriaford_standins/src/server.rs
@@ -257,7 +257,18 @@
     }
     let has_marker = contains_marker(&request.body, &faults.crash_marker);
     if has_marker && shared.service.accepts(request) {
-        crash(shared);
+        if !faults.marker_silences {
+            crash(shared);
+            return false;
+        }
+        change_faults(
+            shared,
+            FaultChange {
+                silent: Some(true),
+                ..FaultChange::default()
+            },
+        );
+        connection.discard_until_closed();
         return false;
     }
     if request.method != "GET" && shared.faults.consume_lost_answer() {
