Attribute a lost run to the incarnation that ran it

A run whose loss was noticed after its endpoint had restarted under its own id would have been reported as a run of the new incarnation, and one on an endpoint that has an entry of another incarnation that leaves not at all.

Cause: the entry of the endpoint was looked up by name only.

Change: Suspects::record_lost takes the entry from when the run began and the listed one, and looks at the latter only if it is of the same incarnation. The signs of a crash are named PortClosed and EntryGone.

Measured: the_entry_that_counts_is_that_of_the_incarnation_which_ran_the_request (new; the logic it tests was not in the core before). crashing_requests: 16 passed.

--- a/wisteriaford_core/src/gateway/suspects.rs
+++ b/wisteriaford_core/src/gateway/suspects.rs
@@ -65,9 +65,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashSign {
     /// Nothing listens at its address.
-    Refused,
+    PortClosed,
     /// Its entry was removed or replaced by that of another incarnation.
-    EntryReplaced,
+    EntryGone,
 }
 
 /// When and how an instance learned of a crash.
@@ -199,11 +199,15 @@
         self.quarantine.record_completed(fingerprint)
     }
 
-    /// Records a run that was lost at an endpoint.
+    /// Records a run that was lost at an endpoint, as its entry was when the run began; `listed` is
+    /// the entry by its name now.
     ///
     /// The end of an endpoint that is being taken out of service is no crash.
-    pub fn record_lost(&mut self, endpoint: &Endpoint, run: LostRun) {
-        if endpoint.leaving || self.completions.contains(run.ended_at, run.fingerprint) {
+    pub fn record_lost(&mut self, endpoint: &Endpoint, listed: Option<&Endpoint>, run: LostRun) {
+        // The entry by that name may be of another incarnation.
+        let listed = listed.filter(|listed| listed.started_unix_ms == endpoint.started_unix_ms);
+        let is_leaving = endpoint.leaving || listed.is_some_and(|listed| listed.leaving);
+        if is_leaving || self.completions.contains(run.ended_at, run.fingerprint) {
             return;
         }
         let crash = crash_id(endpoint);
@@ -239,7 +243,7 @@
         for run in &runs {
             self.report(&crash, run, true);
         }
-        if sign == CrashSign::EntryReplaced {
+        if sign == CrashSign::EntryGone {
             self.quarantine.confirm(&crash);
         }
         remove_oldest_if_full(&mut self.crashes);
@@ -265,7 +269,7 @@
             self.trials.swap_remove(&fingerprint);
         }
         let known = self.crashes.get(suspect.crash.as_str());
-        if known.is_some_and(|known| known.sign == CrashSign::EntryReplaced) {
+        if known.is_some_and(|known| known.sign == CrashSign::EntryGone) {
             self.quarantine.confirm(&suspect.crash);
         }
         self.clear_if_completed(now, fingerprint);
@@ -322,8 +326,8 @@
     let elapsed = now.since(run.ended_at);
     match sign {
         // A silent endpoint whose port is closed now was not dark before.
-        CrashSign::Refused => run.loss == Loss::Broken && elapsed < PROBE_TIME,
-        CrashSign::EntryReplaced => elapsed < CONFIRMATION_TIME,
+        CrashSign::PortClosed => run.loss == Loss::Broken && elapsed < PROBE_TIME,
+        CrashSign::EntryGone => elapsed < CONFIRMATION_TIME,
     }
 }
 
--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -459,10 +459,10 @@
             loss: Loss::Broken,
         };
         harness.suspects.end_alone(start.fingerprint);
-        harness.suspects.record_lost(&start.endpoint, run);
+        harness.suspects.record_lost(&start.endpoint, None, run);
         harness
             .suspects
-            .record_crash(now, &start.endpoint, CrashSign::Refused);
+            .record_crash(now, &start.endpoint, CrashSign::PortClosed);
         harness
             .load_balancer
             .record_unreachable(now, &start.endpoint.id);
--- a/wisteriaford_core/tests/gateway_suspects.rs
+++ b/wisteriaford_core/tests/gateway_suspects.rs
@@ -48,8 +48,8 @@
 /// Loses a run at an endpoint that crashed.
 fn crash(suspects: &mut Suspects, name: &str, run: LostRun) {
     let endpoint = endpoint(name, "a", 4);
-    suspects.record_lost(&endpoint, run);
-    suspects.record_crash(run.ended_at, &endpoint, CrashSign::Refused);
+    suspects.record_lost(&endpoint, None, run);
+    suspects.record_crash(run.ended_at, &endpoint, CrashSign::PortClosed);
 }
 
 /// Crashes `count` endpoints one after the other, and returns the time of the last crash.
@@ -228,22 +228,48 @@
     for number in 0..4 {
         let mut leaving = endpoint(&format!("e-{number}"), "a", 4);
         leaving.leaving = true;
-        suspects.record_lost(&leaving, broken_run(START + CRASH_INTERVAL * number));
-        suspects.record_crash(now, &leaving, CrashSign::Refused);
+        suspects.record_lost(&leaving, None, broken_run(START + CRASH_INTERVAL * number));
+        suspects.record_crash(now, &leaving, CrashSign::PortClosed);
     }
 
     assert!(!suspects.is_suspect(now, SUSPECT));
 }
 
+/// An endpoint may begin to leave while it runs a request.
+#[rstest]
+#[case::same_incarnation(1, false)]
+#[case::another_incarnation(2, true)]
+fn the_entry_that_counts_is_that_of_the_incarnation_which_ran_the_request(
+    #[case] listed_started_unix_ms: u64,
+    #[case] is_suspect: bool,
+) {
+    let mut suspects = Suspects::default();
+    let ran = Endpoint {
+        started_unix_ms: 1,
+        ..endpoint("e", "a", 4)
+    };
+    let listed = Endpoint {
+        started_unix_ms: listed_started_unix_ms,
+        leaving: true,
+        ..ran.clone()
+    };
+
+    suspects.record_lost(&ran, Some(&listed), broken_run(START));
+
+    assert_eq!(suspects.is_suspect(START, SUSPECT), is_suspect);
+    let reports = suspects.take_reports(START);
+    assert!(reports.iter().all(|report| report.crash == "e@1"));
+}
+
 /// Some endpoints leave without notice: their entry is removed, and they serve for a while.
 #[test]
 fn the_end_of_an_endpoint_whose_entry_was_removed_before_is_no_crash() {
     let mut suspects = Suspects::default();
     let removed = endpoint("e", "a", 4);
-    suspects.record_crash(START, &removed, CrashSign::EntryReplaced);
+    suspects.record_crash(START, &removed, CrashSign::EntryGone);
 
     let now = START + Duration::from_secs(3);
-    suspects.record_lost(&removed, broken_run(now));
+    suspects.record_lost(&removed, None, broken_run(now));
 
     assert!(!suspects.is_suspect(now, SUSPECT));
 }
@@ -255,7 +281,11 @@
     let mut now = START;
     for number in 0..5 {
         now = START + CRASH_INTERVAL * number;
-        suspects.record_lost(&endpoint(&format!("e-{number}"), "a", 4), broken_run(now));
+        suspects.record_lost(
+            &endpoint(&format!("e-{number}"), "a", 4),
+            None,
+            broken_run(now),
+        );
     }
 
     let after_five = is_refused(&mut suspects, now);
@@ -267,8 +297,8 @@
 
 /// An endpoint that goes dark closes no connection: its entry expires seconds later.
 #[rstest]
-#[case::entry_expired(CrashSign::EntryReplaced, true)]
-#[case::port_closed(CrashSign::Refused, false)]
+#[case::entry_expired(CrashSign::EntryGone, true)]
+#[case::port_closed(CrashSign::PortClosed, false)]
 fn silent_runs_count_once_the_endpoint_is_known_to_have_crashed(
     #[case] sign: CrashSign,
     #[case] is_confirmed: bool,
@@ -283,7 +313,7 @@
             ..broken_run(now)
         };
         let endpoint = endpoint(&format!("e-{number}"), "a", 4);
-        suspects.record_lost(&endpoint, silent);
+        suspects.record_lost(&endpoint, None, silent);
         now = now + Duration::from_secs(3);
         suspects.record_crash(now, &endpoint, sign);
     }
@@ -322,9 +352,9 @@
             ..endpoint("e", "a", 4)
         };
         let now = START + Duration::from_secs(number);
-        suspects.record_lost(&restarted, broken_run(now));
-        suspects.record_lost(&restarted, broken_run(now));
-        suspects.record_crash(now, &restarted, CrashSign::Refused);
+        suspects.record_lost(&restarted, None, broken_run(now));
+        suspects.record_lost(&restarted, None, broken_run(now));
+        suspects.record_crash(now, &restarted, CrashSign::PortClosed);
     }
 
     assert!(is_refused(&mut suspects, START + Duration::from_secs(3)));
@@ -354,9 +384,9 @@
         for number in 0..4_usize {
             let time = START + Duration::from_millis(700 * number as u64);
             let endpoint = endpoint(&format!("e-{number}"), "a", 4);
-            source.record_lost(&endpoint, broken_run(time));
+            source.record_lost(&endpoint, None, broken_run(time));
             if number < confirmed {
-                source.record_crash(time, &endpoint, CrashSign::Refused);
+                source.record_crash(time, &endpoint, CrashSign::PortClosed);
             }
         }
         let now = START + Duration::from_millis(2_100);
--- a/wisteriaford_gateway/src/directory.rs
+++ b/wisteriaford_gateway/src/directory.rs
@@ -182,13 +182,13 @@
                 endpoint:% = replaced.id, successor:% = id, offset = offset.0;
                 "endpoint replaced at its address"
             );
-            run::record_crash(&self.gateway, &replaced, CrashSign::EntryReplaced);
+            run::record_crash(&self.gateway, &replaced, CrashSign::EntryGone);
         }
         match change {
             EndpointChange::Unchanged => return,
             EndpointChange::Restarted => {
                 if let Some(before) = before {
-                    run::record_crash(&self.gateway, &before, CrashSign::EntryReplaced);
+                    run::record_crash(&self.gateway, &before, CrashSign::EntryGone);
                 }
                 self.gateway.load_balancer().forget(&id);
             }
@@ -217,7 +217,7 @@
     /// still finishes its runs, so that none is lost.
     fn forget_removed(&self, endpoint: &Endpoint) {
         if !endpoint.leaving {
-            run::record_crash(&self.gateway, endpoint, CrashSign::EntryReplaced);
+            run::record_crash(&self.gateway, endpoint, CrashSign::EntryGone);
         }
         self.gateway.load_balancer().forget(&endpoint.id);
     }
--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -163,8 +163,7 @@
         }
         let gateway = &self.permit.gateway;
         let view = gateway.view.load();
-        let endpoint = view.endpoints.get(&self.endpoint.id);
-        let endpoint = endpoint.unwrap_or(&self.endpoint);
+        let listed = view.endpoints.get(&self.endpoint.id);
         let run = LostRun {
             fingerprint: self.fingerprint,
             began_at: self.began_at,
@@ -172,11 +171,11 @@
             progressed: self.progressed,
             loss,
         };
-        gateway.suspects().record_lost(endpoint, run);
+        gateway.suspects().record_lost(&self.endpoint, listed, run);
         gateway.reports_wake.notify_one();
         log::info!(
             fingerprint:% = self.fingerprint, endpoint:% = self.endpoint.id, loss:? = loss,
-            progressed = self.progressed, leaving = endpoint.leaving,
+            progressed = self.progressed, leaving = listed.map(|listed| listed.leaving),
             took_ms = run.ended_at.since(run.began_at).as_millis();
             "run lost, its endpoint may have crashed"
         );
@@ -204,7 +203,7 @@
     if let Ok(Err(error)) = connected
         && error.kind() == io::ErrorKind::ConnectionRefused
     {
-        record_crash(&gateway, &endpoint, CrashSign::Refused);
+        record_crash(&gateway, &endpoint, CrashSign::PortClosed);
     }
 }
 
