Don't take a stream that reaches its deadline for a lost run

A stream that still sent events when its caller's deadline passed was logged as lost and reported as a suspicion for 8 s. Found by reading the change; with five of them in a row a request could have been refused for 4 s.

Cause: waiting for the next event ends at the deadline, too, which counted as silence.

Change: a silence counts only from 1 s on, wherever it is noticed.

--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -152,13 +152,15 @@
         self.has_ended = true;
     }
 
-    /// Ends the run without an answer.
+    /// Ends the run without an answer; a short silence is no loss: the deadline may have passed.
     pub(crate) fn lose(mut self, loss: Loss) {
         self.record_loss(loss);
     }
 
     fn record_loss(&mut self, loss: Loss) {
-        if std::mem::replace(&mut self.has_ended, true) {
+        let is_short = clock::now().since(self.last_output_at) < LOST_SILENCE;
+        let is_noticed = std::mem::replace(&mut self.has_ended, true);
+        if is_noticed || (loss == Loss::Silent && is_short) {
             return;
         }
         let gateway = &self.permit.gateway;
@@ -187,8 +189,7 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
-        let is_open = self.reports_drop && !self.has_ended;
-        if is_open && clock::now().since(self.last_output_at) >= LOST_SILENCE {
+        if self.reports_drop {
             self.record_loss(Loss::Silent);
         }
     }
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -302,11 +302,11 @@
         .schedule()
         .on_run_ended(now, &start, outcome, max_failures);
     log::info!(
-        job:% = start.job.id, item:% = start.item.id,
-        fingerprint:% = start.fingerprint,
-        endpoint:% = start.endpoint.id, outcome:? = outcome, cause:% = cause.unwrap_or_default(), after_event = start.after_event,
+        job:% = start.job.id, item:% = start.item.id, fingerprint:% = start.fingerprint,
+        endpoint:% = start.endpoint.id, outcome:? = outcome, cause:% = cause.unwrap_or_default(),
+        after_event = start.after_event, events = events,
         expected_tokens = start.item.expected_output_tokens, tokens = start.item.tokens,
-        events = events, in_flight = start.reason.in_flight, relative_pace = start.reason.relative_pace,
+        in_flight = start.reason.in_flight, relative_pace = start.reason.relative_pace,
         took_ms = now.since(started).as_millis();
         "item run ended"
     );
