Log the limits that endpoints announce, and the requests sent to them

The adapter now decodes the limit; begin, change and end of a limit are logged with the endpoint and its incarnation, and each request to a limited endpoint with its kind, the limit and its age, counted by kind in wisteriaford_limited_sends. No decision uses it yet.

--- a/wisteriaford_core/src/gateway.rs
+++ b/wisteriaford_core/src/gateway.rs
@@ -4,6 +4,7 @@
 //! an instance whose configuration, endpoint list and persistent state come from a shared log.
 //! Nothing in this module performs I/O.
 
+pub mod announced_limits;
 pub mod attempts;
 pub mod departures;
 pub mod endpoint;
@@ -13,6 +14,7 @@
 pub mod leadership;
 pub mod load_balancer;
 pub mod record;
+pub mod request_rate;
 pub mod route;
 pub mod schedule;
 pub mod suspects;
--- a/wisteriaford_gateway/src/adapter.rs
+++ b/wisteriaford_gateway/src/adapter.rs
@@ -17,6 +17,7 @@
 use wisteriaford_core::gateway::job::ListedResult;
 use wisteriaford_core::gateway::record::Content;
 use wisteriaford_core::gateway::record::KeyedValue;
+use wisteriaford_core::gateway::request_rate::RequestRate;
 use wisteriaford_core::gateway::route::RouteTable;
 use wisteriaford_core::gateway::schedule::RunStart;
 use wisteriaford_core::gateway::schedule::ScoreStart;
@@ -361,6 +362,8 @@
     pub version: Option<Version>,
     /// The endpoint that was called announces that it is leaving service.
     pub leaving: bool,
+    /// Requests per second that the endpoint takes from all instances together, if it limits them.
+    pub request_limit: Option<RequestRate>,
     /// Signature of the endpoint, which proves that it processed the request.
     pub signature: Option<CompactString>,
 }
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -46,6 +46,7 @@
 use crate::run;
 use crate::run::Run;
 use crate::run::RunPermit;
+use crate::sends::SendKind;
 use crate::state::Gateway;
 use crate::stream;
 use crate::stream::OpenStream;
@@ -225,7 +226,13 @@
             let Some(endpoint) = next_endpoint(gateway, call, state) else {
                 return exhausted(state);
             };
-            attempts.push(attempt(gateway, call, endpoint, permit));
+            let is_first = state.attempts.tried().len() == 1;
+            let kind = if is_first {
+                SendKind::Call
+            } else {
+                SendKind::Retry
+            };
+            attempts.push(attempt(gateway, call, endpoint, kind, permit));
         }
         let hedge = hedge_delay(gateway, call);
         let may_hedge = idempotent && attempts.len() == 1 && !is_suspect(gateway, call);
@@ -240,7 +247,7 @@
                 if let Some(endpoint) = next_endpoint(gateway, call, state) {
                     gateway.metrics.hedges.add(1, &[]);
                     let permit = RunPermit::admitted(gateway, call.fingerprint, false);
-                    attempts.push(attempt(gateway, call, endpoint, permit));
+                    attempts.push(attempt(gateway, call, endpoint, SendKind::Hedge, permit));
                 } else if let Some((endpoint, outcome)) = attempts.next().await
                     && let Some(answered) = final_answer(call, state, &endpoint, outcome)?
                 {
@@ -414,6 +421,7 @@
     gateway: &Arc<Gateway>,
     call: &Call<'_>,
     endpoint: Endpoint,
+    kind: SendKind,
     permit: RunPermit,
 ) -> (Endpoint, Attempt) {
     let _in_flight = InFlightGuard::from_counted(gateway, &endpoint.id);
@@ -425,6 +433,7 @@
     let run = Run::begin(&endpoint, call.fingerprint, permit);
     let request = Exchange {
         endpoint: &endpoint,
+        kind,
         request: build_request(gateway, call, &endpoint, None),
         id: &call.head.request,
         fresh: !call.route.is_idempotent(),
@@ -452,6 +461,7 @@
 /// Request to an endpoint that expects one answer.
 pub(crate) struct Exchange<'a> {
     pub(crate) endpoint: &'a Endpoint,
+    pub(crate) kind: SendKind,
     pub(crate) request: EndpointRequest,
     /// Id that the answer must name.
     pub(crate) id: &'a RequestId,
@@ -463,11 +473,13 @@
 pub(crate) async fn exchange(gateway: &Gateway, exchange: Exchange<'_>, mut run: Run) -> Attempt {
     let Exchange {
         endpoint,
+        kind,
         request,
         id,
         fresh,
     } = exchange;
     let peer = endpoint.id.as_str();
+    let sent_at = gateway.record_send(endpoint, kind);
     let opened = gateway.client.open(peer, endpoint.address, request, fresh);
     let answer = match opened.await {
         Ok(answer) => answer,
@@ -481,7 +493,7 @@
         }
     };
     let metadata = answer_metadata(gateway, &answer);
-    gateway.record_departure(endpoint, &metadata);
+    gateway.record_answer(endpoint, sent_at, &metadata);
     if let Some(mismatch) = find_mismatch(id, &metadata) {
         run.dismiss();
         return Attempt::Lost(mismatch);
--- a/wisteriaford_gateway/src/lib.rs
+++ b/wisteriaford_gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod run;
 mod runner;
 mod score;
+mod sends;
 mod server;
 pub mod settings;
 mod state;
--- a/wisteriaford_gateway/src/metrics.rs
+++ b/wisteriaford_gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 use prometheus::TextEncoder;
 
 use crate::refusal::Reason;
+use crate::sends::SendKind;
 
 /// Upper bucket bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS_MS: [f64; 12] = [
@@ -33,6 +34,7 @@
     pub(crate) relayed_calls: Counter<u64>,
     pub(crate) endpoint_crashes: Counter<u64>,
     pub(crate) crash_reports: Counter<u64>,
+    limited_sends: Counter<u64>,
     refusals: Counter<u64>,
     call_ms: Histogram<f64>,
     submit_ms: Histogram<f64>,
@@ -78,6 +80,10 @@
                 "wisteriaford_crash_reports",
                 "Reports of requests that may have crashed endpoints.",
             ),
+            limited_sends: counter(
+                "wisteriaford_limited_sends",
+                "Requests sent to endpoints that limit their requests, by kind.",
+            ),
             refusals: counter(
                 "wisteriaford_refusals",
                 "Refused or failed requests by reason.",
@@ -97,6 +103,11 @@
         self.refusals.add(1, &[reason]);
     }
 
+    pub(crate) fn record_limited_send(&self, kind: SendKind) {
+        let kind = KeyValue::new("kind", kind.to_string());
+        self.limited_sends.add(1, &[kind]);
+    }
+
     pub(crate) fn record_call_time(&self, elapsed: Duration) {
         self.call_ms.record(elapsed.as_secs_f64() * 1e3, &[]);
     }
--- a/wisteriaford_gateway/src/orders.rs
+++ b/wisteriaford_gateway/src/orders.rs
@@ -18,6 +18,7 @@
 use crate::client::CallError;
 use crate::client::CompleteAnswer;
 use crate::clock;
+use crate::sends::SendKind;
 use crate::state::Gateway;
 use crate::state::stopped;
 
@@ -113,19 +114,20 @@
     gateway.view.load().endpoints.get(endpoint).cloned()
 }
 
-/// Calls an engine and notices if it announces that it is leaving.
+/// Calls an engine and records what it announces in its answer.
 async fn call_engine(
     gateway: &Gateway,
     engine: &Endpoint,
     request: EndpointRequest,
 ) -> Result<CompleteAnswer, CallError> {
+    let sent_at = gateway.record_send(engine, SendKind::EngineControl);
     let answer = gateway
         .client
         .call(engine.id.as_str(), engine.address, request, CALL_TIMEOUT)
         .await?;
     let protocol = &gateway.endpoints;
     let metadata = protocol.decode_answer(answer.status, &answer.headers);
-    gateway.record_departure(engine, &metadata);
+    gateway.record_answer(engine, sent_at, &metadata);
     Ok(answer)
 }
 
--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -18,6 +18,7 @@
 
 use crate::clock;
 use crate::crash_reports;
+use crate::sends::SendKind;
 use crate::state::Gateway;
 
 /// Delay of the probe of an endpoint whose connection broke, in which a crashed process closes its
@@ -209,12 +210,13 @@
     }
     let request = gateway.endpoints.inspection_request(&endpoint.id);
     let (peer, address) = (endpoint.id.as_str(), endpoint.address);
+    let sent_at = gateway.record_send(endpoint, SendKind::Probe);
     let answer = gateway.client.call(peer, address, request, PROBE_TIMEOUT);
     match answer.await {
         Ok(answer) => {
             let protocol = &gateway.endpoints;
             let metadata = protocol.decode_answer(answer.status, &answer.headers);
-            gateway.record_departure(endpoint, &metadata);
+            gateway.record_answer(endpoint, sent_at, &metadata);
             true
         }
         Err(error) => {
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -42,6 +42,7 @@
 use crate::run::Run;
 use crate::run::RunPermit;
 use crate::score;
+use crate::sends::SendKind;
 use crate::state::Gateway;
 use crate::state::lock;
 use crate::state::stopped;
@@ -409,6 +410,11 @@
 async fn stream_item(gateway: &Gateway, start: &RunStart, run: &mut Run) -> Result<(), RunFailure> {
     let request = gateway.endpoints.item_request(start);
     let endpoint = &start.endpoint;
+    let kind = match start.after_event {
+        Some(_) => SendKind::ResumedItem,
+        None => SendKind::Item,
+    };
+    let sent_at = gateway.record_send(endpoint, kind);
     let opened = gateway
         .client
         .open(endpoint.id.as_str(), endpoint.address, request, false);
@@ -425,7 +431,7 @@
     let metadata = gateway
         .endpoints
         .decode_answer(answer.response.status(), answer.response.headers());
-    gateway.record_departure(endpoint, &metadata);
+    gateway.record_answer(endpoint, sent_at, &metadata);
     if let Err(failure) = check_head(gateway, start, &answer, &metadata) {
         run.dismiss();
         return Err(failure);
--- a/wisteriaford_gateway/src/score.rs
+++ b/wisteriaford_gateway/src/score.rs
@@ -20,6 +20,7 @@
 use crate::forward::exchange;
 use crate::run::Run;
 use crate::run::RunPermit;
+use crate::sends::SendKind;
 use crate::state::Gateway;
 
 type ScoreResult = Result<CompactString, (RunOutcome, CompactString)>;
@@ -34,6 +35,7 @@
     run.ignore_drop();
     let request = Exchange {
         endpoint: &start.endpoint,
+        kind: SendKind::Score,
         request: gateway.endpoints.scorer_request(&start),
         id: &start.scorer.request,
         fresh: false,
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -16,6 +16,7 @@
 use indexmap::IndexSet;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use wisteriaford_core::gateway::announced_limits::AnnouncedLimits;
 use wisteriaford_core::gateway::departures::Departures;
 use wisteriaford_core::gateway::endpoint::Endpoint;
 use wisteriaford_core::gateway::endpoint::EndpointTable;
@@ -162,6 +163,7 @@
     /// Statistics of scorer calls, which take longer than the other calls of their pools.
     scorer_balancer: Mutex<LoadBalancer>,
     departures: Mutex<Departures>,
+    announced_limits: Mutex<AnnouncedLimits>,
     jobs: Mutex<JobFold>,
     leadership: Mutex<Leadership>,
     schedule: Mutex<Schedule>,
@@ -214,6 +216,7 @@
             load_balancer: Mutex::new(LoadBalancer::new(availability_zone.clone())),
             scorer_balancer: Mutex::new(LoadBalancer::new(availability_zone)),
             departures: Mutex::default(),
+            announced_limits: Mutex::default(),
             jobs: Mutex::default(),
             leadership: Mutex::new(leadership),
             schedule: Mutex::default(),
@@ -276,6 +279,11 @@
         lock(&self.departures).contains(endpoint)
     }
 
+    /// Returns the limits that endpoints announced.
+    pub(crate) fn announced_limits(&self) -> MutexGuard<'_, AnnouncedLimits> {
+        lock(&self.announced_limits)
+    }
+
     pub(crate) fn jobs(&self) -> MutexGuard<'_, JobFold> {
         lock(&self.jobs)
     }
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -38,6 +38,7 @@
 use crate::run;
 use crate::run::Run;
 use crate::run::RunPermit;
+use crate::sends::SendKind;
 use crate::state::Gateway;
 
 /// Maximum number of events that are buffered for a slow caller.
@@ -289,6 +290,7 @@
             };
             build_request(&call.gateway, &forwarded, &endpoint, call.last_event)
         };
+        let sent_at = call.gateway.record_send(&endpoint, SendKind::Resumption);
         let client = &call.gateway.client;
         let opened = client.open(endpoint.id.as_str(), endpoint.address, request, true);
         let remaining = call.deadline.since(clock::now()).min(SILENCE_TIMEOUT);
@@ -312,7 +314,7 @@
         let response = &answer.response;
         let protocol = &call.gateway.endpoints;
         let metadata = protocol.decode_answer(response.status(), response.headers());
-        call.gateway.record_departure(&endpoint, &metadata);
+        call.gateway.record_answer(&endpoint, sent_at, &metadata);
         if let Some(mismatch) = find_mismatch(&call.head.request, &metadata) {
             log::info!(
                 request:% = call.head.request, endpoint:% = endpoint.id, error:% = mismatch;
