--- a/wisteriaford_standins/src/faults.rs
+++ b/wisteriaford_standins/src/faults.rs
@@ -46,6 +46,9 @@
     pub ignore_fencing: bool,
     /// Say in all answers that the stand-in is leaving, and serve as before.
     pub announces_leaving: bool,
+    /// Requests per second, in thousandths, that the stand-in announces in all answers as its limit;
+    /// 0 for none.
+    pub request_limit_milli: u64,
     /// Refuse new work because the stand-in is leaving.
     pub leaving: bool,
     /// Tokens per second of each stream; 0 for the rate in the settings.
@@ -101,6 +104,9 @@
     /// See [`FaultSettings::announces_leaving`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub announces_leaving: Option<bool>,
+    /// See [`FaultSettings::request_limit_milli`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request_limit_milli: Option<u64>,
     /// See [`FaultSettings::leaving`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub leaving: Option<bool>,
@@ -126,6 +132,7 @@
         set_if_some(&mut settings.silent_streams, self.silent_streams);
         set_if_some(&mut settings.ignore_fencing, self.ignore_fencing);
         set_if_some(&mut settings.announces_leaving, self.announces_leaving);
+        set_if_some(&mut settings.request_limit_milli, self.request_limit_milli);
         set_if_some(&mut settings.leaving, self.leaving);
         set_if_some(&mut settings.tokens_per_s, self.tokens_per_s);
     }
--- a/wisteriaford_standins/src/platform_endpoint.rs
+++ b/wisteriaford_standins/src/platform_endpoint.rs
@@ -12,6 +12,7 @@
 use clap::Args;
 use indexmap::IndexMap;
 use serde::Deserialize;
+use serde::Serialize;
 use serde_json::json;
 
 use crate::connection::Connection;
@@ -75,6 +76,18 @@
     highest_fence: u64,
     running: usize,
     runs: IndexMap<String, RunCounts>,
+    /// Requests of all kinds, in the order of their arrival.
+    arrivals: Vec<Arrival>,
+}
+
+/// Request as the endpoint saw it.
+#[derive(Clone, Debug, Serialize)]
+struct Arrival {
+    /// Time since the start of the endpoint.
+    at_ms: u64,
+    path: String,
+    /// Id of the request; empty for inspections and orders.
+    id: String,
 }
 
 impl EndpointState {
@@ -102,6 +115,7 @@
 pub(crate) struct PlatformEndpoint {
     settings: PlatformEndpointSettings,
     faults: Arc<Faults>,
+    started: Instant,
     state: Mutex<EndpointState>,
 }
 
@@ -110,6 +124,7 @@
         Self {
             settings,
             faults,
+            started: Instant::now(),
             state: Mutex::new(EndpointState {
                 version: 1,
                 loading: None,
@@ -117,6 +132,7 @@
                 highest_fence: 0,
                 running: 0,
                 runs: IndexMap::new(),
+                arrivals: Vec::new(),
             }),
         }
     }
@@ -138,7 +154,8 @@
             "running": state.running,
         });
         drop(state);
-        let headers = self.with_announcement(vec![("Content-Type", "application/json")]);
+        let limit = self.limit_text();
+        let headers = self.with_announcements(vec![("Content-Type", "application/json")], &limit);
         connection.send_bytes(200, &headers, report.to_string().as_bytes())?;
         Ok(Reply::Sent)
     }
@@ -183,7 +200,8 @@
         let id = request.headers.get("x-request-id").cloned();
         let id = id.unwrap_or_default();
         if !self.try_begin(&id) {
-            let headers = self.with_announcement(vec![("X-Not-Run", "1")]);
+            let limit = self.limit_text();
+            let headers = self.with_announcements(vec![("X-Not-Run", "1")], &limit);
             connection.send_bytes(503, &headers, b"")?;
             return Ok(Reply::Sent);
         }
@@ -202,11 +220,46 @@
         Ok(Reply::Sent)
     }
 
-    /// Adds the announcement of a leaving endpoint to the header fields of an answer.
-    fn with_announcement<'a>(
+    /// Returns the limit to announce, in requests per second; empty for none.
+    fn limit_text(&self) -> String {
+        let milli = self.faults.settings().request_limit_milli;
+        if milli == 0 {
+            return String::new();
+        }
+        format!("{}.{:03}", milli / 1_000, milli % 1_000)
+    }
+
+    /// Returns all requests that arrived, and the time of the endpoint's clock.
+    fn arrivals(&self) -> Reply {
+        let arrivals = &self.state().arrivals;
+        Reply::ok(json!({"now_ms": self.elapsed_ms(), "arrivals": arrivals}))
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Records the arrival of a request.
+    fn record_arrival(&self, request: &Request) {
+        let at_ms = self.elapsed_ms();
+        let id = request.headers.get("x-request-id").cloned();
+        let arrival = Arrival {
+            at_ms,
+            path: request.path.clone(),
+            id: id.unwrap_or_default(),
+        };
+        self.state().arrivals.push(arrival);
+    }
+
+    /// Adds what the endpoint announces about itself to the header fields of an answer.
+    fn with_announcements<'a>(
         &self,
         mut headers: Vec<(&'a str, &'a str)>,
+        limit: &'a str,
     ) -> Vec<(&'a str, &'a str)> {
+        if !limit.is_empty() {
+            headers.push(("Server-Limit", limit));
+        }
         if self.faults.settings().announces_leaving {
             headers.push(("Server-Leaving", "1"));
         }
@@ -234,11 +287,12 @@
             return Ok(());
         }
         let body = format!("answer of {}", self.settings.id);
-        let signature = signature(id);
-        let headers = self.with_announcement(vec![
+        let (signature, limit) = (signature(id), self.limit_text());
+        let headers = vec![
             ("X-Request-Id", id),
             ("X-Response-Stamp", signature.as_str()),
-        ]);
+        ];
+        let headers = self.with_announcements(headers, &limit);
         if contains_marker(&request.body, &self.faults.settings().failure_marker) {
             return Ok(connection.send_bytes(500, &headers, body.as_bytes())?);
         }
@@ -270,11 +324,13 @@
         let id = if is_foreign { "foreign" } else { id };
         let mut version = self.state().version;
         let (signature, version_text) = (signature(id), version.to_string());
-        let headers = self.with_announcement(vec![
+        let limit = self.limit_text();
+        let headers = vec![
             ("X-Request-Id", id),
-            ("X-Response-Stamp", &signature),
-            ("X-Weight-Versions", &version_text),
-        ]);
+            ("X-Response-Stamp", signature.as_str()),
+            ("X-Weight-Versions", version_text.as_str()),
+        ];
+        let headers = self.with_announcements(headers, &limit);
         connection.begin_chunks_with("text/event-stream", &headers)?;
         let stalls_after = self
             .faults
@@ -317,7 +373,11 @@
         if !self.accepts(request) {
             return Ok(Reply::Json(421, json!({})));
         }
+        if !request.path.starts_with("/standin/") {
+            self.record_arrival(request);
+        }
         match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/standin/arrivals") => Ok(self.arrivals()),
             ("GET", "/api/report") => self.report(connection),
             ("POST", "/api/order") => self.order(request),
             ("GET", "/standin/runs") => Ok(self.runs()),
