Keep the limits that endpoints announce, summed over the fleet

Callers saw nothing; endpoints got up to four times the requests of their Server-Limit. An allowance kept by each instance alone can't hold a limit of less than one request an instance in 4 s.

The leader issues permits for all instances while its lease is valid: one request each, from an empty bucket at the start of a term. Others ask it once per request, for several endpoints at a time, and take another endpoint or refuse at once (503 endpoints_limited, Retry-After until the next permit) without one. Items, moved items, scorer calls, inspections and orders take permits too; hedges and probes of suspects avoid limited endpoints. A leader whose lease ended while no instance reaches the log issues a fifth. The leader lists all limits with each renewal of its lease, so that the others, and the next leader, know them, at no further call of the log.

Weighed: a share of the limit for each instance (195 instances: less than one request a minute each, or 195 at once); permits appended to the log (a write for each, none while it is down); slots in time by hash (idle where there is no work). Shares of 100, 20 and 20 percent and bursts of 2, 1 and 2 stay within 1.5 x limit + 5 in 4 s, also for a late permit of 400 ms.

Test (three daemons, 3 requests a second): failed before with 65 to 149 requests in 4 s of 23 allowed, in all six cases; now 13 in each, and unused limits stay below a half. One of the first nine runs of the test timed out after 20 s in the set-up of one case; its logs weren't kept and eight runs didn't show it again.

--- a/wisteriaford_core/src/gateway.rs
+++ b/wisteriaford_core/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod job_fold;
 pub mod leadership;
 pub mod load_balancer;
+pub mod permits;
 pub mod record;
 pub mod request_rate;
 pub mod route;
--- a/wisteriaford_core/src/gateway/endpoint.rs
+++ b/wisteriaford_core/src/gateway/endpoint.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use compact_str::CompactString;
+use compact_str::format_compact;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
@@ -39,6 +41,14 @@
     pub weights: Vec<(ModelId, Version)>,
 }
 
+impl Endpoint {
+    /// Returns the name of this incarnation of the endpoint, the same at every instance.
+    #[must_use]
+    pub fn incarnation(&self) -> CompactString {
+        format_compact!("{}@{}", self.id, self.started_unix_ms)
+    }
+}
+
 /// Effect of an update on the endpoint table.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndpointChange {
--- a/wisteriaford_core/src/gateway/leadership.rs
+++ b/wisteriaford_core/src/gateway/leadership.rs
@@ -15,7 +15,9 @@
 use compact_str::CompactString;
 use prost::Message;
 use wisteriaford_proto::job::DutyRecord;
+use wisteriaford_proto::limits::EndpointLimit;
 
+use crate::gateway::permits::IssuingTerm;
 use crate::hash::rendezvous_rank;
 use crate::id::Fence;
 use crate::id::InstanceId;
@@ -83,6 +85,8 @@
     /// When its newest record was read.
     last_seen: Timestamp,
     released: bool,
+    /// Limits of endpoints that the leader lists; `None` if it doesn't.
+    limits: Option<Vec<EndpointLimit>>,
 }
 
 /// Append of this instance whose record hasn't been read back.
@@ -118,6 +122,8 @@
     in_flight: bool,
     /// Time before which nothing is appended.
     next_append: Timestamp,
+    /// Limits of endpoints to list in the next record.
+    limits: Vec<EndpointLimit>,
     /// Whether this instance claims and keeps the leadership; false once it has resigned.
     is_candidate: bool,
 }
@@ -144,6 +150,7 @@
             pending: None,
             in_flight: false,
             next_append: Timestamp::default(),
+            limits: Vec::new(),
             is_candidate: true,
         }
     }
@@ -155,6 +162,11 @@
         self.share_delay = MAX_SHARE_DELAY * missing_milli / 1_000;
     }
 
+    /// Sets the limits of endpoints that the next record lists.
+    pub fn set_limits(&mut self, limits: Vec<EndpointLimit>) {
+        self.limits = limits;
+    }
+
     /// Stops claiming, and releases the lease if this instance is the leader.
     pub fn resign(&mut self) {
         self.is_candidate = false;
@@ -180,6 +192,17 @@
         self.leader_fence().is_some() && (!isolated || now < self.valid_until)
     }
 
+    /// Returns the right of this instance to issue permits for endpoints that limit their requests.
+    ///
+    /// See [`Leadership::may_run_items`] for `isolated`.
+    #[must_use]
+    pub fn issuing_term(&self, now: Timestamp, isolated: bool) -> Option<IssuingTerm> {
+        let fence = self.leader_fence()?;
+        let is_leased = now < self.valid_until;
+        self.may_run_items(now, isolated)
+            .then_some(IssuingTerm { fence, is_leased })
+    }
+
     /// Returns the fencing number if this instance may give orders.
     #[must_use]
     pub fn order_fence(&self, now: Timestamp) -> Option<Fence> {
@@ -194,6 +217,23 @@
         term.map(|term| &term.leader)
     }
 
+    /// Returns the name of the leader's host, as far as was read.
+    #[must_use]
+    pub fn leader_host(&self) -> Option<&CompactString> {
+        let term = self.term.as_ref().filter(|term| !term.released);
+        term.map(|term| &term.host)
+    }
+
+    /// Returns the limits of endpoints that another instance lists as the leader.
+    #[must_use]
+    pub fn listed_limits(&self) -> Option<&[EndpointLimit]> {
+        let term = self
+            .term
+            .as_ref()
+            .filter(|term| term.leader != self.self_id);
+        term.and_then(|term| term.limits.as_deref())
+    }
+
     /// Sets the end of the topic after a read.
     pub fn set_end(&mut self, end: Offset) {
         self.end = self.end.max(Some(end));
@@ -240,6 +280,7 @@
             fence,
             last_seen: now,
             released: record.released,
+            limits: record.lists_limits.then_some(record.limits),
         });
         Ok(changed.then_some(if record.released {
             LeadershipChange::Released(leader)
@@ -304,6 +345,8 @@
             fence: fence.map_or(0, |fence| fence.0),
             released,
             host: self.host.to_string(),
+            lists_limits: true,
+            limits: self.limits.clone(),
         };
         LeadershipAppend {
             at,
--- a/wisteriaford_core/src/gateway/load_balancer/shortlist.rs
+++ b/wisteriaford_core/src/gateway/load_balancer/shortlist.rs
@@ -38,6 +38,7 @@
     relative_pace: f64,
     idle_connections: usize,
     cost: Cost,
+    is_excluded: bool,
 }
 
 impl Candidate<'_> {
@@ -78,6 +79,7 @@
                     relative_pace: load_balancer.relative_pace(now, &endpoint.id),
                     idle_connections: idle_connections(&endpoint.id),
                     cost: Cost(0.0),
+                    is_excluded: false,
                 };
                 candidate.cost = candidate.cost(load_balancer, &query.costs);
                 (&endpoint.id, candidate)
@@ -120,18 +122,28 @@
         Some((endpoint, reason))
     }
 
+    /// Takes back the last selection of an endpoint, and selects it no more.
+    pub fn exclude(&mut self, load_balancer: &mut LoadBalancer, id: &EndpointId) {
+        load_balancer.record_end(id);
+        if let Some(candidate) = self.candidates.get_mut(id) {
+            candidate.is_excluded = true;
+        }
+    }
+
     /// Returns whether an endpoint is a candidate with a free slot and at most `max_pace`.
     #[must_use]
     pub fn fits(&self, load_balancer: &LoadBalancer, id: &EndpointId, max_pace: f64) -> bool {
         self.candidates.get(id).is_some_and(|candidate| {
-            candidate.relative_pace <= max_pace
+            !candidate.is_excluded
+                && candidate.relative_pace <= max_pace
                 && load_balancer.in_flight(id) < candidate.endpoint.slots
         })
     }
 
     fn preferred(&self, load_balancer: &LoadBalancer, id: &EndpointId) -> Option<usize> {
         let position = self.candidates.get_index_of(id)?;
-        let is_fast = self.candidates[position].relative_pace < MAX_AFFINITY_PACE;
+        let candidate = &self.candidates[position];
+        let is_fast = candidate.relative_pace < MAX_AFFINITY_PACE && !candidate.is_excluded;
         (is_fast && load_balancer.in_flight(id) < self.max_in_flight).then_some(position)
     }
 
@@ -139,7 +151,7 @@
         while let Some(Reverse((cost, position))) = self.queue.pop() {
             let candidate = &self.candidates[position];
             let has_capacity = load_balancer.in_flight(&candidate.endpoint.id) < self.max_in_flight;
-            if candidate.cost == cost && has_capacity {
+            if candidate.cost == cost && has_capacity && !candidate.is_excluded {
                 return Some(position);
             }
         }
--- a/wisteriaford_core/src/gateway/request_rate.rs
+++ b/wisteriaford_core/src/gateway/request_rate.rs
@@ -24,7 +24,7 @@
 impl RequestRate {
     /// Returns the rate of a number of thousandths of a request per second.
     #[must_use]
-    pub fn from_milli(milli_per_s: u64) -> Self {
+    pub const fn from_milli(milli_per_s: u64) -> Self {
         Self { milli_per_s }
     }
 
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -257,7 +257,9 @@
     ///
     /// `idle_connections` returns the number of open connections to an engine that are idle.
     /// `accepts` returns whether an engine has a version of the weights that the batch job accepts.
-    /// Items whose earlier runs crashed engines wait as long as `suspects` refuses them.
+    /// `take_permit` takes the permit for a request of a priority that an engine with a limit on its
+    /// requests needs. Items whose earlier runs crashed engines wait as long as `suspects` refuses
+    /// them.
     pub fn next_starts(
         &mut self,
         context: &DispatchContext<'_>,
@@ -265,6 +267,7 @@
         suspects: &mut Suspects,
         idle_connections: impl Fn(&EndpointId) -> usize,
         accepts: impl Fn(&Endpoint, &JobHead, Option<Version>) -> bool,
+        mut take_permit: impl FnMut(&Endpoint, u32) -> bool,
     ) -> Vec<RunStart> {
         let mut starts = Vec::new();
         let mut packing = self.packing(context.endpoints, load_balancer);
@@ -306,7 +309,16 @@
                     continue;
                 }
                 let alone = admission != Admission::Run;
-                let Some((endpoint, reason)) = shortlist.select(load_balancer, preferred) else {
+                let selected = loop {
+                    let Some(selected) = shortlist.select(load_balancer, preferred) else {
+                        break None;
+                    };
+                    if take_permit(selected.0, ready.priority) {
+                        break Some(selected);
+                    }
+                    shortlist.exclude(load_balancer, &selected.0.id);
+                };
+                let Some((endpoint, reason)) = selected else {
                     if alone {
                         suspects.end_alone(ready.fingerprint);
                     }
@@ -357,13 +369,14 @@
     /// Requeues items of slow engines while other engines have free slots; returns the runs to
     /// stop.
     ///
-    /// Moving an item is cheap: the next engine reads the output generated so far much faster than
+    /// `accepts` returns whether an engine may receive moved items. Moving an item is cheap: the next engine reads the output generated so far much faster than
     /// it was generated.
     pub fn move_from_slow_engines(
         &mut self,
         now: Timestamp,
         endpoints: &EndpointTable,
         load_balancer: &LoadBalancer,
+        accepts: impl Fn(&Endpoint) -> bool,
     ) -> Vec<RunNumber> {
         let mut free_slots = None;
         let mut moved = Vec::new();
@@ -382,8 +395,9 @@
                     continue;
                 }
                 let pool = endpoints.get(endpoint).map(|endpoint| &endpoint.pool);
-                let free_slots = free_slots
-                    .get_or_insert_with(|| free_target_slots(now, endpoints, load_balancer));
+                let free_slots = free_slots.get_or_insert_with(|| {
+                    free_target_slots(now, endpoints, load_balancer, &accepts)
+                });
                 let free = pool.and_then(|pool| free_slots.get_mut(pool));
                 let median_pace = pool.and_then(|pool| load_balancer.median_pace(pool));
                 let (Some(free), Some(median_pace)) = (free, median_pace) else {
@@ -536,9 +550,11 @@
     now: Timestamp,
     endpoints: &EndpointTable,
     load_balancer: &LoadBalancer,
+    accepts: impl Fn(&Endpoint) -> bool,
 ) -> IndexMap<PoolId, u32> {
     let mut free_slots: IndexMap<PoolId, u32> = IndexMap::new();
-    for endpoint in endpoints.iter().filter(|endpoint| !endpoint.leaving) {
+    let serving = endpoints.iter().filter(|endpoint| !endpoint.leaving);
+    for endpoint in serving.filter(|endpoint| accepts(endpoint)) {
         if load_balancer.is_available(now, &endpoint.id)
             && load_balancer.relative_pace(now, &endpoint.id) <= MAX_TARGET_PACE_RATIO
         {
--- a/wisteriaford_core/src/gateway/schedule/scoring.rs
+++ b/wisteriaford_core/src/gateway/schedule/scoring.rs
@@ -145,7 +145,8 @@
     /// Selects the scorer calls to start now and marks them as in progress.
     ///
     /// `load_balancer` counts scorer calls only. `accepts` returns whether an endpoint may be called
-    /// at all.
+    /// at all. `take_permit` takes the permit for a request of a priority that an endpoint with a limit
+    /// on its requests needs.
     pub fn next_scores(
         &mut self,
         context: &DispatchContext<'_>,
@@ -153,8 +154,10 @@
         suspects: &mut Suspects,
         idle_connections: impl Fn(&EndpointId) -> usize,
         accepts: impl Fn(&Endpoint) -> bool,
+        mut take_permit: impl FnMut(&Endpoint, u32) -> bool,
     ) -> Vec<ScoreStart> {
         let mut starts = Vec::new();
+        let mut without_permit: Vec<EndpointId> = Vec::new();
         let mut free: IndexMap<PoolId, FreeCalls> = IndexMap::new();
         for text in self.ready_texts(context.now) {
             let Some((_, active)) = self.jobs.get_index_mut(text.job) else {
@@ -188,15 +191,23 @@
                 continue;
             }
             let alone = admission != Admission::Run;
-            let endpoint = select(
-                pool,
-                item.last_scorer.as_ref(),
-                calls,
-                context,
-                load_balancer,
-                &idle_connections,
-                &accepts,
-            );
+            let endpoint = loop {
+                let selected = select(
+                    pool,
+                    item.last_scorer.as_ref(),
+                    calls,
+                    context,
+                    load_balancer,
+                    &idle_connections,
+                    |endpoint| accepts(endpoint) && !without_permit.contains(&endpoint.id),
+                );
+                match selected {
+                    Some(endpoint) if !take_permit(endpoint, route.priority) => {
+                        without_permit.push(endpoint.id.clone());
+                    }
+                    selected => break selected,
+                }
+            };
             let Some(endpoint) = endpoint else {
                 if alone {
                     suspects.end_alone(fingerprint);
--- a/wisteriaford_core/src/gateway/suspects.rs
+++ b/wisteriaford_core/src/gateway/suspects.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use compact_str::format_compact;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use wisteriaford_proto::fleet::Suspect;
@@ -127,7 +126,7 @@
 /// Returns the id of the crash that ends an endpoint's incarnation, the same at every instance.
 #[must_use]
 pub fn crash_id(endpoint: &Endpoint) -> CompactString {
-    format_compact!("{}@{}", endpoint.id, endpoint.started_unix_ms)
+    endpoint.incarnation()
 }
 
 /// Suspects known to a gateway, and the runs whose endpoints may have crashed.
--- a/wisteriaford_core/src/gateway/weights.rs
+++ b/wisteriaford_core/src/gateway/weights.rs
@@ -141,6 +141,8 @@
     Fenced,
     /// The engine refused the order for another reason, or the order wasn't sent.
     Refused,
+    /// The order wasn't sent, as the engine limits its requests.
+    Deferred,
     /// The answer was lost.
     Unknown,
 }
@@ -326,6 +328,10 @@
                 engine.report = None;
                 engine.not_before = now + INSPECTION_INTERVAL;
             }
+            OrderOutcome::Deferred => {
+                engine.order = None;
+                engine.not_before = now + FAILURE_BACKOFF;
+            }
             OrderOutcome::Unknown => {
                 // The engine may still carry out the order; the next report will show it. If the
                 // order arrives late, its expected number of orders keeps it from undoing a newer
--- a/wisteriaford_core/tests/gateway_announced_limits.rs
+++ b/wisteriaford_core/tests/gateway_announced_limits.rs
@@ -8,7 +8,9 @@
 use wisteriaford_core::gateway::announced_limits::AnnouncedLimits;
 use wisteriaford_core::gateway::announced_limits::LimitChange;
 use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::endpoint::EndpointTable;
 use wisteriaford_core::gateway::request_rate::RequestRate;
+use wisteriaford_proto::limits::LimitUpdate;
 
 use crate::fixtures::at;
 use crate::fixtures::endpoint;
@@ -100,3 +102,83 @@
     assert_eq!(text, "2.345");
     assert_eq!(text.parse(), Ok(rate(2_345)));
 }
+
+fn update(endpoint: &Endpoint, milli_per_s: Option<u64>, age_ms: u64) -> LimitUpdate {
+    LimitUpdate {
+        incarnation: endpoint.incarnation().to_string(),
+        milli_per_s,
+        age_ms,
+    }
+}
+
+fn table(endpoints: &[Endpoint]) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    for endpoint in endpoints {
+        table.insert(endpoint.clone());
+    }
+    table
+}
+
+/// Guards against a new leader that knows none of the limits that were announced to its predecessor.
+#[test]
+fn the_listing_of_the_leader_tells_all_instances() {
+    let endpoint = endpoint("e", "a", 4);
+    let table = table(std::slice::from_ref(&endpoint));
+    let (mut leader, mut other) = (AnnouncedLimits::default(), AnnouncedLimits::default());
+    leader.merge(at(100), &update(&endpoint, Some(2_300), 20));
+
+    let listing = leader.listing(&table);
+    other.apply_listing(at(200), &listing);
+    let listed = other.get(&endpoint).map(|limit| limit.rate);
+    other.apply_listing(at(300), &[]);
+
+    assert_eq!(listed, Some(rate(2_300)));
+    assert_eq!(other.get(&endpoint), None);
+}
+
+/// Guards against a listing, written before the leader knew of a limit, that ends it.
+#[test]
+fn a_listing_ends_no_limit_that_the_leader_may_not_know_yet() {
+    let endpoint = endpoint("e", "a", 4);
+    let mut limits = AnnouncedLimits::default();
+    limits.record(at(100), &endpoint, at(90), Some(rate(2_300)));
+
+    limits.apply_listing(at(500), &[]);
+    let soon = limits.get(&endpoint).is_some();
+    limits.apply_listing(at(5_000), &[]);
+
+    assert!(soon);
+    assert_eq!(limits.get(&endpoint), None);
+}
+
+/// Guards against a report of a limit that arrives after its end.
+#[test]
+fn an_older_report_begins_no_limit_again() {
+    let endpoint = endpoint("e", "a", 4);
+    let mut limits = AnnouncedLimits::default();
+    limits.record(at(100), &endpoint, at(90), Some(rate(2_300)));
+    limits.record(at(300), &endpoint, at(200), None);
+
+    let change = limits.merge(at(400), &update(&endpoint, Some(2_300), 250));
+
+    assert_eq!(change, None);
+    assert_eq!(limits.get(&endpoint), None);
+}
+
+/// Guards against limits of endpoints that are gone, which would be listed for good.
+#[test]
+fn the_limit_of_an_endpoint_that_is_gone_is_not_listed() {
+    let endpoints = [endpoint("e", "a", 4), endpoint("gone", "a", 4)];
+    let mut limits = AnnouncedLimits::default();
+    for endpoint in &endpoints {
+        limits.record(at(100), endpoint, at(90), Some(rate(2_300)));
+    }
+
+    let listing = limits.listing(&table(&endpoints[..1]));
+
+    let incarnations: Vec<&str> = listing
+        .iter()
+        .map(|limit| limit.incarnation.as_str())
+        .collect();
+    assert_eq!(incarnations, [endpoints[0].incarnation().as_str()]);
+}
--- a/wisteriaford_core/tests/gateway_long_items.rs
+++ b/wisteriaford_core/tests/gateway_long_items.rs
@@ -37,12 +37,13 @@
     let without_free_slots =
         harness
             .schedule
-            .move_from_slow_engines(at(2_000), endpoints, load_balancer);
+            .move_from_slow_engines(at(2_000), endpoints, load_balancer, |_| true);
     harness.load_balancer.record_end(&"e".into());
     let moved = harness.schedule.move_from_slow_engines(
         at(2_000),
         &harness.endpoints,
         &harness.load_balancer,
+        |_| true,
     );
     harness.load_balancer.record_end(&"slow".into());
     let restarted = harness.starts(at(2_010));
@@ -65,6 +66,7 @@
         at(2_000),
         &harness.endpoints,
         &harness.load_balancer,
+        |_| true,
     );
 
     assert!(moved.is_empty());
--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -312,6 +312,7 @@
         &mut harness.suspects,
         |_| 1,
         |endpoint, head, _| head.min_version < Version(2) || endpoint.id.as_str() == "new",
+        |_, _| true,
     );
 
     let ahead: Vec<&RunStart> = starts
--- a/wisteriaford_core/tests/gateway_scoring.rs
+++ b/wisteriaford_core/tests/gateway_scoring.rs
@@ -106,6 +106,7 @@
             &mut self.inner.suspects,
             |_| 1,
             |endpoint| load_balancer.is_available(now, &endpoint.id),
+            |_, _| true,
         )
     }
 
--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -36,6 +36,7 @@
 use crate::outbox;
 use crate::peers;
 use crate::peers::PeerFollower;
+use crate::permits;
 use crate::progress;
 use crate::runner;
 use crate::server;
@@ -192,6 +193,7 @@
         "clean-up of batch jobs",
         caller_jobs::delete_expired,
     );
+    supervise(gateway, "limits", permits::report);
     supervise(gateway, "connections", prune_connections);
     tokio::spawn(watch_settings(Arc::clone(gateway), hangup, source));
 }
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -24,6 +24,7 @@
 use wisteriaford_core::gateway::load_balancer::CALL_COSTS;
 use wisteriaford_core::gateway::load_balancer::LoadBalancer;
 use wisteriaford_core::gateway::load_balancer::SelectionCriteria;
+use wisteriaford_core::gateway::load_balancer::SelectionReason;
 use wisteriaford_core::gateway::route::Route;
 use wisteriaford_core::gateway::suspects::Loss;
 use wisteriaford_core::id::EndpointId;
@@ -39,6 +40,8 @@
 use crate::client::CallError;
 use crate::client::IncomingAnswer;
 use crate::clock;
+use crate::permits;
+use crate::permits::Selection;
 use crate::refusal::Answer;
 use crate::refusal::Reason;
 use crate::refusal::full_body;
@@ -62,6 +65,8 @@
 const DEFAULT_HEDGE_DELAY: Duration = Duration::from_millis(250);
 /// `Retry-After` of calls that did not run, about the duration of a few calls.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
+/// Minimum `Retry-After` of calls that limits of the endpoints don't allow.
+const MIN_LIMIT_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Part of a call's timeout that is reserved for returning the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
@@ -123,8 +128,10 @@
     may_have_run: bool,
     /// Whether the last attempt was one of a request that may run only alone.
     alone: bool,
-    /// Time until the call may be sent again, if it was refused as quarantined.
+    /// Time until the call may be sent again, if it was refused as quarantined or by a limit.
     retry_after: Option<Duration>,
+    /// Whether the endpoints that are left limit their requests.
+    is_limited: bool,
     failure: Option<Answered>,
 }
 
@@ -135,6 +142,7 @@
             may_have_run: false,
             alone: false,
             retry_after: None,
+            is_limited: false,
             failure: None,
         }
     }
@@ -223,7 +231,7 @@
     loop {
         if attempts.is_empty() {
             let permit = admit(gateway, call, state).await?;
-            let Some(endpoint) = next_endpoint(gateway, call, state) else {
+            let Some(endpoint) = next_endpoint(gateway, call, state).await else {
                 return exhausted(state);
             };
             let is_first = state.attempts.tried().len() == 1;
@@ -244,7 +252,7 @@
                 }
             }
             () = tokio::time::sleep(hedge), if may_hedge => {
-                if let Some(endpoint) = next_endpoint(gateway, call, state) {
+                if let Some(endpoint) = hedge_endpoint(gateway, call, state) {
                     gateway.metrics.hedges.add(1, &[]);
                     let permit = RunPermit::admitted(gateway, call.fingerprint, false);
                     attempts.push(attempt(gateway, call, endpoint, SendKind::Hedge, permit));
@@ -341,33 +349,78 @@
     if state.may_have_run {
         return Err(Reason::AnswerLost);
     }
-    Err(if state.attempts.tried().is_empty() {
+    Err(if state.is_limited {
+        Reason::EndpointsLimited
+    } else if state.attempts.tried().is_empty() {
         Reason::NoEndpoint
     } else {
         Reason::EndpointsFull
     })
 }
 
-/// Chooses the endpoint of the next attempt and registers the attempt with the load balancer.
-fn next_endpoint(gateway: &Gateway, call: &Call<'_>, state: &mut CallState) -> Option<Endpoint> {
-    if !state.attempts.may_try() {
-        return None;
-    }
-    let view = gateway.view.load();
-    let query = SelectionCriteria {
+fn criteria<'a>(call: &Call<'a>, attempts: &'a Attempts) -> SelectionCriteria<'a> {
+    SelectionCriteria {
         pool: call.pool,
-        tried: state.attempts.tried(),
+        tried: attempts.tried(),
         affinity: None,
         max_in_flight: None,
         allow_unavailable: true,
         prefer_proven: !call.route.is_idempotent(),
         costs: CALL_COSTS,
+    }
+}
+
+/// Chooses the endpoint of the next attempt and registers the attempt with the load balancer.
+async fn next_endpoint(
+    gateway: &Gateway,
+    call: &Call<'_>,
+    state: &mut CallState,
+) -> Option<Endpoint> {
+    if !state.attempts.may_try() {
+        return None;
+    }
+    let query = criteria(call, &state.attempts);
+    match permits::select(gateway, &query, call.route.priority).await {
+        Selection::Selected(endpoint, reason) => {
+            register_attempt(gateway, call, state, &endpoint, reason);
+            Some(endpoint)
+        }
+        Selection::Limited { retry_after } => {
+            state.is_limited = true;
+            state.retry_after = Some(retry_after.max(MIN_LIMIT_RETRY_AFTER));
+            None
+        }
+        Selection::NoEndpoint => None,
+    }
+}
+
+/// Chooses the endpoint of a hedge and registers it with the load balancer; none that limits its
+/// requests.
+fn hedge_endpoint(gateway: &Gateway, call: &Call<'_>, state: &mut CallState) -> Option<Endpoint> {
+    if !state.attempts.may_try() {
+        return None;
+    }
+    let view = gateway.view.load();
+    let (endpoint, reason) = {
+        let load_balancer = gateway.load_balancer();
+        let limits = gateway.announced_limits();
+        let query = criteria(call, &state.attempts);
+        let idle = |id: &EndpointId| gateway.idle_connections(&view, id);
+        let accepts = |endpoint: &Endpoint| limits.get(endpoint).is_none();
+        load_balancer.select(clock::now(), &view.endpoints, &query, idle, accepts)?
     };
-    let mut load_balancer = gateway.load_balancer();
-    let idle = |id: &EndpointId| gateway.idle_connections(&view, id);
-    let (endpoint, reason) =
-        load_balancer.select(clock::now(), &view.endpoints, &query, idle, |_| true)?;
-    load_balancer.record_start(&endpoint.id);
+    register_attempt(gateway, call, state, endpoint, reason);
+    Some(endpoint.clone())
+}
+
+fn register_attempt(
+    gateway: &Gateway,
+    call: &Call<'_>,
+    state: &mut CallState,
+    endpoint: &Endpoint,
+    reason: SelectionReason,
+) {
+    gateway.load_balancer().record_start(&endpoint.id);
     log::debug!(
         request:% = call.head.request, endpoint:% = endpoint.id, in_flight = reason.in_flight,
         relative_pace = reason.relative_pace, candidates = reason.candidates,
@@ -375,7 +428,6 @@
         "endpoint chosen"
     );
     state.attempts.record(endpoint.id.clone());
-    Some(endpoint.clone())
 }
 
 fn hedge_delay(gateway: &Gateway, call: &Call<'_>) -> Duration {
--- a/wisteriaford_gateway/src/leadership_task.rs
+++ b/wisteriaford_gateway/src/leadership_task.rs
@@ -64,7 +64,16 @@
 }
 
 fn apply(gateway: &Gateway, offset: Offset, value: &[u8]) {
-    let change = gateway.leadership().apply(clock::now(), offset, value);
+    let (change, limits) = {
+        let mut leadership = gateway.leadership();
+        let change = leadership.apply(clock::now(), offset, value);
+        (change, leadership.listed_limits().map(<[_]>::to_vec))
+    };
+    if let Some(limits) = limits {
+        gateway
+            .announced_limits()
+            .apply_listing(clock::now(), &limits);
+    }
     let (change, leader) = match change {
         Ok(None) => return,
         Ok(Some(LeadershipChange::Acquired(fence))) => ("taken", format!("self, fence {fence}")),
@@ -85,7 +94,14 @@
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut stop = gateway.stop.clone();
     loop {
-        let append = gateway.leadership().due_append(clock::now());
+        let limits = gateway
+            .announced_limits()
+            .listing(&gateway.view.load().endpoints);
+        let append = {
+            let mut leadership = gateway.leadership();
+            leadership.set_limits(limits);
+            leadership.due_append(clock::now())
+        };
         if let Some(append) = append {
             if append.releases {
                 progress::save_before_release(&gateway).await;
--- a/wisteriaford_gateway/src/lib.rs
+++ b/wisteriaford_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod orders;
 mod outbox;
 mod peers;
+mod permits;
 mod progress;
 mod refusal;
 mod relay;
--- a/wisteriaford_gateway/src/orders.rs
+++ b/wisteriaford_gateway/src/orders.rs
@@ -18,6 +18,7 @@
 use crate::client::CallError;
 use crate::client::CompleteAnswer;
 use crate::clock;
+use crate::permits;
 use crate::sends::SendKind;
 use crate::state::Gateway;
 use crate::state::stopped;
@@ -133,6 +134,10 @@
 
 async fn inspect(gateway: &Gateway, endpoint: &EndpointId) -> Option<EngineReport> {
     let engine = find_endpoint(gateway, endpoint)?;
+    if !permits::take_control(gateway, &engine) {
+        log::debug!(endpoint:% = endpoint; "engine not inspected, it limits its requests");
+        return None;
+    }
     let request = gateway.endpoints.inspection_request(endpoint);
     let report = match call_engine(gateway, &engine, request).await {
         Ok(answer) if answer.status.is_success() => gateway
@@ -181,6 +186,13 @@
         log::info!(endpoint:% = endpoint, version = version.0; "order not sent, no valid lease");
         return OrderOutcome::Refused;
     };
+    if !permits::take_control(gateway, &engine) {
+        log::info!(
+            endpoint:% = endpoint, version = version.0;
+            "order deferred, the engine limits its requests"
+        );
+        return OrderOutcome::Deferred;
+    }
     let order = WeightOrder {
         endpoint: endpoint.clone(),
         model: model.clone(),
--- a/wisteriaford_gateway/src/peers.rs
+++ b/wisteriaford_gateway/src/peers.rs
@@ -26,6 +26,8 @@
 use crate::crash_reports;
 use crate::crash_reports::REPORTS_PATH;
 use crate::follow::Follower;
+use crate::permits;
+use crate::permits::LIMITS_PATH;
 use crate::refusal::Answer;
 use crate::refusal::empty_answer;
 use crate::refusal::full_body;
@@ -144,7 +146,7 @@
     }
 }
 
-/// Serves relayed calls and crash reports until the process ends.
+/// Serves relayed calls, crash reports and calls about limits until the process ends.
 pub(crate) async fn serve(gateway: Arc<Gateway>, address: SocketAddr) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
@@ -163,7 +165,8 @@
 async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Answer {
     let path = request.uri().path();
     let are_reports = path == REPORTS_PATH;
-    if path != RELAY_PATH && !are_reports {
+    let is_about_limits = path == LIMITS_PATH;
+    if path != RELAY_PATH && !are_reports && !is_about_limits {
         return empty_answer(StatusCode::NOT_FOUND);
     }
     let max_bytes = gateway.log.limits().max_append_bytes + CALL_OVERHEAD_BYTES;
@@ -178,6 +181,12 @@
     if are_reports {
         return empty_answer(crash_reports::receive(gateway, &body));
     }
+    if is_about_limits {
+        return match permits::receive(gateway, &body) {
+            Ok(answer) => Response::new(full_body(answer)),
+            Err(status) => empty_answer(status),
+        };
+    }
     let (topic, call) = match relay_message::decode_call(&body) {
         Ok(decoded) => decoded,
         Err(error) => {
--- a/wisteriaford_gateway/src/refusal.rs
+++ b/wisteriaford_gateway/src/refusal.rs
@@ -48,6 +48,9 @@
     /// All endpoints refused the request or were unreachable; it did not run.
     #[display("endpoints_full")]
     EndpointsFull,
+    /// The endpoints that are left limit their requests, and no more may be sent now.
+    #[display("endpoints_limited")]
+    EndpointsLimited,
     /// An endpoint may have run the request, but its answer was lost.
     #[display("answer_lost")]
     AnswerLost,
@@ -82,6 +85,7 @@
             Self::NoRoutesKnown
             | Self::NoEndpoint
             | Self::EndpointsFull
+            | Self::EndpointsLimited
             | Self::Quarantined
             | Self::LogUnavailable
             | Self::NotCurrent => StatusCode::SERVICE_UNAVAILABLE,
--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -205,7 +205,9 @@
     fingerprint: Fingerprint,
 ) -> bool {
     let now = clock::now();
-    if !gateway.suspects().is_suspect(now, fingerprint) {
+    let is_suspect = gateway.suspects().is_suspect(now, fingerprint);
+    // A probe would count towards the limit of an endpoint.
+    if !is_suspect || gateway.announced_limits().get(endpoint).is_some() {
         return true;
     }
     let request = gateway.endpoints.inspection_request(&endpoint.id);
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -38,6 +38,7 @@
 use crate::contents;
 use crate::event_stream::EventReader;
 use crate::forward::InFlightGuard;
+use crate::permits;
 use crate::progress;
 use crate::run::Run;
 use crate::run::RunPermit;
@@ -116,7 +117,11 @@
     let moved = {
         let view = gateway.view.load();
         let mut schedule = gateway.schedule();
-        schedule.move_from_slow_engines(clock::now(), &view.endpoints, &gateway.load_balancer())
+        let load_balancer = gateway.load_balancer();
+        let limits = gateway.announced_limits();
+        schedule.move_from_slow_engines(clock::now(), &view.endpoints, &load_balancer, |endpoint| {
+            limits.get(endpoint).is_none()
+        })
     };
     if !moved.is_empty() {
         gateway.metrics.moved_items.add(moved.len() as u64, &[]);
@@ -291,6 +296,7 @@
         &mut gateway.suspects(),
         |id| gateway.idle_connections(&view, id),
         accepts,
+        |endpoint, priority| permits::take_own(gateway, context.now, endpoint, priority),
     )
 }
 
@@ -310,6 +316,7 @@
         &mut gateway.suspects(),
         |id| gateway.idle_connections(&view, id),
         |endpoint| load_balancer.is_available(context.now, &endpoint.id),
+        |endpoint, priority| permits::take_own(gateway, context.now, endpoint, priority),
     )
 }
 
--- a/wisteriaford_gateway/src/sends.rs
+++ b/wisteriaford_gateway/src/sends.rs
@@ -75,6 +75,9 @@
         let change = self
             .announced_limits()
             .record(now, endpoint, sent_at, answer.request_limit);
+        if change.is_some() {
+            self.limits_wake.notify_one();
+        }
         match change {
             Some(LimitChange::Began | LimitChange::Changed { .. }) => log::info!(
                 endpoint:% = endpoint.id, started_unix_ms = endpoint.started_unix_ms,
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -23,6 +23,8 @@
 use wisteriaford_core::gateway::job_fold::JobFold;
 use wisteriaford_core::gateway::leadership::Leadership;
 use wisteriaford_core::gateway::load_balancer::LoadBalancer;
+use wisteriaford_core::gateway::permits::IssuingTerm;
+use wisteriaford_core::gateway::permits::PermitIssuer;
 use wisteriaford_core::gateway::route::RouteTable;
 use wisteriaford_core::gateway::schedule::Schedule;
 use wisteriaford_core::gateway::suspects::StoredKeys;
@@ -164,6 +166,9 @@
     scorer_balancer: Mutex<LoadBalancer>,
     departures: Mutex<Departures>,
     announced_limits: Mutex<AnnouncedLimits>,
+    permits: Mutex<PermitIssuer>,
+    /// Wakes the task that tells the leader of limits.
+    pub(crate) limits_wake: Notify,
     jobs: Mutex<JobFold>,
     leadership: Mutex<Leadership>,
     schedule: Mutex<Schedule>,
@@ -217,6 +222,8 @@
             scorer_balancer: Mutex::new(LoadBalancer::new(availability_zone)),
             departures: Mutex::default(),
             announced_limits: Mutex::default(),
+            permits: Mutex::default(),
+            limits_wake: Notify::new(),
             jobs: Mutex::default(),
             leadership: Mutex::new(leadership),
             schedule: Mutex::default(),
@@ -284,6 +291,17 @@
         lock(&self.announced_limits)
     }
 
+    /// Returns the issuer of permits; it is locked after the announced limits.
+    pub(crate) fn permits(&self) -> MutexGuard<'_, PermitIssuer> {
+        lock(&self.permits)
+    }
+
+    /// Returns the right of this instance to issue permits, if it is the leader.
+    pub(crate) fn issuing_term(&self) -> Option<IssuingTerm> {
+        self.leadership()
+            .issuing_term(clock::now(), self.log.is_isolated())
+    }
+
     pub(crate) fn jobs(&self) -> MutexGuard<'_, JobFold> {
         lock(&self.jobs)
     }
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -33,6 +33,8 @@
 use crate::forward::build_request;
 use crate::forward::find_mismatch;
 use crate::forward::remove_hop_by_hop_headers;
+use crate::permits;
+use crate::permits::Selection;
 use crate::refusal::Answer;
 use crate::refusal::Reason;
 use crate::run;
@@ -57,6 +59,9 @@
     text.is_some_and(|text| text.starts_with("text/event-stream"))
 }
 
+/// Maximum time for which a stream waits for a permit of an endpoint that limits its requests.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(700);
+
 /// Stream of an endpoint whose head has arrived.
 pub(crate) struct OpenStream {
     pub(crate) answer: IncomingAnswer,
@@ -263,7 +268,7 @@
 }
 
 fn can_resume(call: &StreamedCall) -> bool {
-    call.attempts.may_try() && choose(call).is_some()
+    call.attempts.may_try() && has_endpoint(call)
 }
 
 /// Resumes the stream at another endpoint, after the last event sent to the caller.
@@ -272,7 +277,14 @@
     while call.route.is_resumable() && call.attempts.may_try() && has_time(call) {
         tokio::time::sleep(RESUME_BACKOFF).await;
         let permit = admit(call).await?;
-        let endpoint = choose(call)?;
+        let endpoint = match select(call).await {
+            Selection::Selected(endpoint, _) => endpoint,
+            Selection::Limited { retry_after } if retry_after <= MAX_PERMIT_WAIT => {
+                tokio::time::sleep(retry_after).await;
+                continue;
+            }
+            Selection::Limited { .. } | Selection::NoEndpoint => return None,
+        };
         call.attempts.record(endpoint.id.clone());
         if !run::may_begin(&call.gateway, &endpoint, call.fingerprint).await {
             call.attempts.record_unreachable();
@@ -354,9 +366,8 @@
     admitted.ok()
 }
 
-fn choose(call: &StreamedCall) -> Option<Endpoint> {
-    let view = call.gateway.view.load();
-    let query = SelectionCriteria {
+fn criteria(call: &StreamedCall) -> SelectionCriteria<'_> {
+    SelectionCriteria {
         pool: &call.pool,
         tried: call.attempts.tried(),
         affinity: None,
@@ -364,8 +375,21 @@
         allow_unavailable: false,
         prefer_proven: false,
         costs: CALL_COSTS,
-    };
+    }
+}
+
+/// Returns whether there is an endpoint that may take the stream.
+fn has_endpoint(call: &StreamedCall) -> bool {
+    let now = clock::now();
+    let view = call.gateway.view.load();
     let load_balancer = call.gateway.load_balancer();
-    let chosen = load_balancer.select(clock::now(), &view.endpoints, &query, |_| 0, |_| true);
-    chosen.map(|(endpoint, _)| endpoint.clone())
+    let limits = call.gateway.announced_limits();
+    let accepts = |endpoint: &Endpoint| limits.may_request(now, endpoint);
+    let selected = load_balancer.select(now, &view.endpoints, &criteria(call), |_| 0, accepts);
+    selected.is_some()
+}
+
+/// Selects the endpoint that takes the stream.
+async fn select(call: &StreamedCall) -> Selection {
+    permits::select(&call.gateway, &criteria(call), call.route.priority).await
 }
--- a/wisteriaford_proto/src/lib.rs
+++ b/wisteriaford_proto/src/lib.rs
@@ -45,6 +45,12 @@
     include!("generated/wisteriaford.peer.rs");
 }
 
+/// Limits on the requests of endpoints, and permits for them.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+pub mod limits {
+    include!("generated/wisteriaford.limits.rs");
+}
+
 /// Records of batch jobs and of leadership leases.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
 pub mod job {
--- a/wisteriaford_schema/src/main.rs
+++ b/wisteriaford_schema/src/main.rs
@@ -7,7 +7,7 @@
 
 const SCHEMA_DIR: &str = "wisteriaford_proto/proto";
 const OUTPUT_DIR: &str = "wisteriaford_proto/src/generated";
-const SCHEMAS: [&str; 10] = [
+const SCHEMAS: [&str; 11] = [
     "wisteriaford/settings.proto",
     "wisteriaford/record.proto",
     "wisteriaford/membership.proto",
@@ -15,6 +15,7 @@
     "wisteriaford/step.proto",
     "wisteriaford/fleet.proto",
     "wisteriaford/peer.proto",
+    "wisteriaford/limits.proto",
     "wisteriaford/job.proto",
     "wisteriaford/relay.proto",
     "wisteriaford/quarantine.proto",
