--- a/wisteriaford_core/src/gateway/endpoint.rs
+++ b/wisteriaford_core/src/gateway/endpoint.rs
@@ -12,6 +12,7 @@
 use crate::id::EndpointId;
 use crate::id::ModelId;
 use crate::id::PoolId;
+use crate::id::SoftwareVersion;
 use crate::id::Version;
 use crate::time::Timestamp;
 
@@ -37,6 +38,8 @@
     pub leaving: bool,
     /// Start time of the endpoint process, in milliseconds since the Unix epoch; 0 if unknown.
     pub started_unix_ms: u64,
+    /// Version of the software that the endpoint runs. Another version can't continue its streams.
+    pub software: SoftwareVersion,
     /// Loaded version of the weights of each model.
     pub weights: Vec<(ModelId, Version)>,
 }
--- a/wisteriaford_core/src/id.rs
+++ b/wisteriaford_core/src/id.rs
@@ -124,6 +124,10 @@
     /// Model that engines serve.
     ModelId
 }
+text_id! {
+    /// Version of the software that an endpoint runs; empty if it doesn't tell.
+    SoftwareVersion
+}
 text_id! {
     /// Request of a caller, unique across the fleet.
     RequestId
--- a/wisteriaford_gateway/src/adapter.rs
+++ b/wisteriaford_gateway/src/adapter.rs
@@ -286,6 +286,8 @@
     pub time_left: Option<Duration>,
     /// Last stream event that the caller received.
     pub after_event: Option<u64>,
+    /// Request that brought the first event of the stream, if this one continues a stream.
+    pub continues: Option<RequestId>,
     /// Target of the request.
     pub target: CallerTarget,
 }
--- a/wisteriaford_gateway/src/directory.rs
+++ b/wisteriaford_gateway/src/directory.rs
@@ -174,7 +174,7 @@
             return;
         }
         let id = endpoint.id.clone();
-        let pool = endpoint.pool.clone();
+        let (pool, software) = (endpoint.pool.clone(), endpoint.software.clone());
         let replaced = table.at_address(&endpoint).cloned();
         let before = table.get(&id).cloned();
         let change = Arc::make_mut(table).insert(endpoint);
@@ -196,7 +196,8 @@
             _ => {}
         }
         log::info!(
-            endpoint:% = id, pool:% = pool, change:? = change, offset = offset.0;
+            endpoint:% = id, pool:% = pool, software:% = software, change:? = change,
+            offset = offset.0;
             "endpoint list changed"
         );
     }
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -214,7 +214,8 @@
         pool:% = call.pool, endpoints = tried, outcome:% = outcome, may_have_run = state.may_have_run,
         retry_after_ms = state.retry_after.map(|delay| delay.as_millis()),
         took_ms = elapsed.as_millis(), time_left_ms = call.deadline.since(clock::now()).as_millis(),
-        table = gateway.view.load().routes.version.0;
+        continues = call.head.continues.as_ref().map(RequestId::as_str),
+        after_event = call.head.after_event, table = gateway.view.load().routes.version.0;
         "call ended"
     );
 }
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -362,7 +362,8 @@
     let group = start.item.group.as_ref().map(GroupId::as_str);
     log::info!(
         job:% = start.job.id, item:% = start.item.id, group = group, fingerprint:% = start.fingerprint,
-        endpoint:% = start.endpoint.id, outcome:? = outcome, cause:% = cause.unwrap_or_default(),
+        endpoint:% = start.endpoint.id, software:% = start.endpoint.software,
+        outcome:? = outcome, cause:% = cause.unwrap_or_default(),
         after_event = start.after_event, events = events,
         expected_tokens = start.item.expected_output_tokens, tokens = start.item.tokens,
         in_flight = start.reason.in_flight, relative_pace = start.reason.relative_pace,
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -338,7 +338,7 @@
         if response.status().is_success() && is_event_stream(response.headers()) {
             log::info!(
                 request:% = call.head.request, endpoint:% = endpoint.id,
-                after_event = call.last_event;
+                software:% = endpoint.software, after_event = call.last_event;
                 "stream resumed"
             );
             return Some(OpenStream { answer, run });
