Continue streams and texts only at the software version that began them

Callers got streams and texts that hold events of two versions of the engines' software. Cause: nothing that chooses an endpoint for a resumed stream, a moved or resumed item or saved output compared versions.

The version is part of an endpoint's entry, and of the criteria of a selection. An item's output keeps the version that made it, also when it is saved, carried to a later batch job, or restored by a new leader; its runs go to engines of that version, and it begins anew if none is left or none has had room for 2 s. A stream is resumed at its version only.

Weighed: the version in the log for each stream (a write each, and none while the log is down); a hash of the request that decides the version (the set of versions changes while streams run).

--- a/wisteriaford_core/src/gateway.rs
+++ b/wisteriaford_core/src/gateway.rs
@@ -18,5 +18,6 @@
 pub mod request_rate;
 pub mod route;
 pub mod schedule;
+pub mod stream_origins;
 pub mod suspects;
 pub mod weights;
--- a/wisteriaford_core/src/gateway/load_balancer.rs
+++ b/wisteriaford_core/src/gateway/load_balancer.rs
@@ -20,6 +20,7 @@
 use crate::id::AvailabilityZone;
 use crate::id::EndpointId;
 use crate::id::PoolId;
+use crate::id::SoftwareVersion;
 use crate::time::Timestamp;
 
 /// Duration of an endpoint's first ejection; shorter than the outage after any crash.
@@ -139,6 +140,8 @@
     pub pool: &'a PoolId,
     /// Endpoints that were tried already and are excluded.
     pub tried: &'a [EndpointId],
+    /// Version of the software that the endpoint must run; `None` for any.
+    pub software: Option<&'a SoftwareVersion>,
     /// Endpoint that has the prompt in its cache.
     pub affinity: Option<&'a EndpointId>,
     /// Maximum number of requests in flight at an endpoint; endpoints that reached it are excluded.
@@ -394,6 +397,11 @@
             .filter(|endpoint| endpoint.pool == *query.pool && !endpoint.leaving)
             .filter(|endpoint| self.has_capacity(endpoint, query))
             .filter(|endpoint| !query.tried.contains(&endpoint.id))
+            .filter(|endpoint| {
+                query
+                    .software
+                    .is_none_or(|software| endpoint.software == *software)
+            })
             .filter(move |endpoint| accepts(endpoint))
     }
 
--- a/wisteriaford_core/src/gateway/record.rs
+++ b/wisteriaford_core/src/gateway/record.rs
@@ -294,6 +294,7 @@
         last_event: part.last_event,
         versions: part.versions.iter().map(|version| version.0).collect(),
         is_complete: part.is_complete,
+        software: part.software.as_ref().map(ToString::to_string),
     });
     let batch = proto::ProgressBatch {
         items: items.collect(),
@@ -319,6 +320,7 @@
         events: item.events.into_iter().map(CompactString::from).collect(),
         last_event: item.last_event,
         versions: item.versions.into_iter().map(Version).collect(),
+        software: item.software.map(|software| software.as_str().into()),
         is_complete: item.is_complete,
     });
     Ok((batch.runner.into(), parts.collect()))
--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -42,6 +42,7 @@
 use crate::gateway::schedule::packing::Packing;
 pub use crate::gateway::schedule::progress::Progress;
 pub use crate::gateway::schedule::progress::ProgressPart;
+pub use crate::gateway::schedule::run::Discarded;
 pub use crate::gateway::schedule::run::DispatchContext;
 pub use crate::gateway::schedule::run::FinishedItem;
 pub use crate::gateway::schedule::run::RunEnd;
@@ -60,6 +61,7 @@
 use crate::id::JobId;
 use crate::id::ModelId;
 use crate::id::PoolId;
+use crate::id::SoftwareVersion;
 use crate::id::Version;
 use crate::scoring::ScorerBackOff;
 use crate::time::Timestamp;
@@ -87,6 +89,9 @@
 /// job.
 const MAX_CARRIED_ITEMS: usize = 1_024;
 
+/// What the engines on a shortlist have in common: pool, version of the weights and of the software.
+type ShortlistKey<'a> = (&'a PoolId, Option<Version>, Option<SoftwareVersion>);
+
 /// Items of all open batch jobs, and the output kept for items that may run again.
 #[derive(Clone, Debug, Default)]
 pub struct Schedule {
@@ -100,6 +105,8 @@
     /// Limits of the scorer calls in progress, by pool.
     scorer_windows: IndexMap<PoolId, ScorerWindow>,
     last_run: u64,
+    /// Output that was discarded since it was last taken.
+    discarded: Vec<Discarded>,
 }
 
 impl Schedule {
@@ -129,6 +136,10 @@
             let progress = progress.filter(|p| p.versions.iter().all(|v| *v >= head.min_version));
             let mut progress = progress.unwrap_or_default();
             progress.is_complete &= spec.scorer.is_some();
+            if !progress.is_complete && progress.software.is_none() {
+                // Nothing is known of the engines that could continue it.
+                progress = Progress::default();
+            }
             let phase = if progress.is_complete {
                 ItemPhase::Unscored
             } else {
@@ -144,6 +155,7 @@
                 saved_events: 0,
                 saved_complete: false,
                 silent_runs: 0,
+                unplaced_since: None,
                 failures: job.failures.get(&spec.id).copied().unwrap_or_default(),
                 scorer_back_off: ScorerBackOff::default(),
                 last_scorer: None,
@@ -276,13 +288,13 @@
             let head = Arc::clone(&active.head);
             // Engines are filtered once per pool and version instead of once per item, since a pool
             // can have thousands of them.
-            let mut shortlists: IndexMap<(&PoolId, Option<Version>), Shortlist<'_>> =
-                IndexMap::new();
+            let mut shortlists: IndexMap<ShortlistKey<'_>, Shortlist<'_>> = IndexMap::new();
             for id in &order {
                 let Some(ready) = active.ready_item(id, context) else {
                     continue;
                 };
-                let shortlist = shortlists.entry((ready.pool, ready.exact_version));
+                let key = (ready.pool, ready.exact_version, ready.software.clone());
+                let shortlist = shortlists.entry(key);
                 let shortlist = shortlist.or_insert_with(|| {
                     let admits =
                         |endpoint: &Endpoint| accepts(endpoint, &head, ready.exact_version);
@@ -322,6 +334,8 @@
                     if alone {
                         suspects.end_alone(ready.fingerprint);
                     }
+                    let discarded = active.on_unplaced(id, ready.pool, context);
+                    self.discarded.extend(discarded);
                     continue;
                 };
                 if let Some((model, tokens)) = long_item {
@@ -337,6 +351,11 @@
         starts
     }
 
+    /// Returns the output that was discarded since the last call, as no endpoint could continue it.
+    pub fn take_discarded(&mut self) -> Vec<Discarded> {
+        std::mem::take(&mut self.discarded)
+    }
+
     /// Records an event of a run; returns whether the run is still current.
     ///
     /// Events that the item already has are ignored.
@@ -357,6 +376,9 @@
         {
             return true;
         }
+        if item.progress.events.is_empty() {
+            item.progress.software = Some(start.endpoint.software.clone());
+        }
         item.progress.events.push(data);
         item.progress.last_event = Some(event_id);
         item.silent_runs = 0;
@@ -394,11 +416,13 @@
                 if pace < SLOW_PACE_RATIO || now.since(*since) < MIN_RUN_TIME_BEFORE_MOVE {
                     continue;
                 }
-                let pool = endpoints.get(endpoint).map(|endpoint| &endpoint.pool);
+                let listed = endpoints.get(endpoint);
+                let pool = listed.map(|endpoint| &endpoint.pool);
                 let free_slots = free_slots.get_or_insert_with(|| {
                     free_target_slots(now, endpoints, load_balancer, &accepts)
                 });
-                let free = pool.and_then(|pool| free_slots.get_mut(pool));
+                let key = listed.map(|endpoint| (endpoint.pool.clone(), endpoint.software.clone()));
+                let free = key.and_then(|key| free_slots.get_mut(&key));
                 let median_pace = pool.and_then(|pool| load_balancer.median_pace(pool));
                 let (Some(free), Some(median_pace)) = (free, median_pace) else {
                     continue;
@@ -545,14 +569,14 @@
     load_balancer.median_pace(pool)
 }
 
-/// Returns the free slots of engines that may receive moved items, by pool.
+/// Returns the free slots of engines that may receive moved items, by pool and version of the software.
 fn free_target_slots(
     now: Timestamp,
     endpoints: &EndpointTable,
     load_balancer: &LoadBalancer,
     accepts: impl Fn(&Endpoint) -> bool,
-) -> IndexMap<PoolId, u32> {
-    let mut free_slots: IndexMap<PoolId, u32> = IndexMap::new();
+) -> IndexMap<(PoolId, SoftwareVersion), u32> {
+    let mut free_slots: IndexMap<_, u32> = IndexMap::new();
     let serving = endpoints.iter().filter(|endpoint| !endpoint.leaving);
     for endpoint in serving.filter(|endpoint| accepts(endpoint)) {
         if load_balancer.is_available(now, &endpoint.id)
@@ -561,7 +585,8 @@
             let free = endpoint
                 .slots
                 .saturating_sub(load_balancer.in_flight(&endpoint.id));
-            *free_slots.entry(endpoint.pool.clone()).or_default() += free;
+            let key = (endpoint.pool.clone(), endpoint.software.clone());
+            *free_slots.entry(key).or_default() += free;
         }
     }
     free_slots
--- a/wisteriaford_core/src/gateway/schedule/active.rs
+++ b/wisteriaford_core/src/gateway/schedule/active.rs
@@ -16,6 +16,7 @@
 use crate::gateway::load_balancer::SelectionCriteria;
 use crate::gateway::load_balancer::SelectionReason;
 use crate::gateway::route::Route;
+use crate::gateway::schedule::Discarded;
 use crate::gateway::schedule::DispatchContext;
 use crate::gateway::schedule::FinishedItem;
 use crate::gateway::schedule::Progress;
@@ -29,6 +30,7 @@
 use crate::id::JobId;
 use crate::id::ModelId;
 use crate::id::PoolId;
+use crate::id::SoftwareVersion;
 use crate::id::Version;
 use crate::scoring::ScorerBackOff;
 use crate::time::Timestamp;
@@ -46,6 +48,9 @@
 /// Assumed number of tokens per event, used to estimate the number of events of an item.
 const DEFAULT_EVENT_TOKENS: u64 = 58;
 
+/// Time for which an item waits for an engine that can continue its output.
+const RESUME_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Maximum clock skew between instances; items are abandoned this much after they expire.
 const CLOCK_SKEW_MARGIN: Duration = Duration::from_secs(5);
 
@@ -92,6 +97,8 @@
     pub(super) saved_complete: bool,
     /// Number of runs that ended silently since the last event.
     pub(super) silent_runs: u32,
+    /// Time since which no engine could continue the output.
+    pub(super) unplaced_since: Option<Timestamp>,
     /// Failures that endpoints reported.
     pub(super) failures: FailureCounts,
     /// Back-off after calls of the scorer without a score.
@@ -100,6 +107,16 @@
     pub(super) last_scorer: Option<EndpointId>,
 }
 
+impl ItemRun {
+    /// Discards the output, so that the next run begins anew.
+    fn discard_output(&mut self) {
+        self.progress = Progress::default();
+        self.saved_events = 0;
+        self.saved_complete = false;
+        self.unplaced_since = None;
+    }
+}
+
 /// Open batch job with the items that weren't listed when it was opened.
 #[derive(Clone, Debug)]
 pub(super) struct ActiveJob {
@@ -121,6 +138,8 @@
     /// KV cache size of each engine in the pool, in tokens.
     pub(super) cache_tokens: Option<u64>,
     pub(super) exact_version: Option<Version>,
+    /// Version of the software that made the output so far.
+    pub(super) software: Option<SoftwareVersion>,
     pub(super) time_left: Duration,
     pub(super) priority: u32,
 }
@@ -154,6 +173,7 @@
             max_in_flight: engine.map(|engine| engine.slots),
             cache_tokens: engine.map(|engine| engine.cache_tokens),
             exact_version: exact_version(route, item),
+            software: item.progress.software.clone(),
             time_left: time_left(&self.head, route, context.unix_ms)?,
             priority: route.priority,
         })
@@ -173,6 +193,33 @@
         Some((model, item.spec.tokens))
     }
 
+    /// Handles that no engine could take an item now. Its output is discarded if there is no engine of
+    /// the software that made it, or none could continue it for [`RESUME_PATIENCE`]: a run of another
+    /// version begins anew.
+    pub(super) fn on_unplaced(
+        &mut self,
+        id: &ItemId,
+        pool: &PoolId,
+        context: &DispatchContext<'_>,
+    ) -> Option<Discarded> {
+        let item = self.items.get_mut(id)?;
+        let software = item.progress.software.clone()?;
+        let since = *item.unplaced_since.get_or_insert(context.now);
+        let mut serving = context.endpoints.serving(pool);
+        let is_served = serving.any(|endpoint| endpoint.software == software);
+        if is_served && context.now.since(since) < RESUME_PATIENCE {
+            return None;
+        }
+        let discarded = Discarded {
+            job: self.head.id.clone(),
+            item: id.clone(),
+            software,
+            events: item.progress.events.len(),
+        };
+        item.discard_output();
+        Some(discarded)
+    }
+
     /// Marks an item as running and returns the run to start.
     pub(super) fn start(
         &mut self,
@@ -184,6 +231,7 @@
         now: Timestamp,
     ) -> Option<RunStart> {
         let item = self.items.get_mut(id)?;
+        item.unplaced_since = None;
         item.phase = ItemPhase::Running {
             run,
             endpoint: endpoint.id.clone(),
@@ -211,12 +259,13 @@
     }
 }
 
-impl<'a> ReadyItem<'a> {
+impl ReadyItem<'_> {
     /// Returns the query for a suitable engine; engines that are excluded for now are never forced.
-    pub(super) fn query(&self) -> SelectionCriteria<'a> {
+    pub(super) fn query(&self) -> SelectionCriteria<'_> {
         SelectionCriteria {
             pool: self.pool,
             tried: &[],
+            software: self.software.as_ref(),
             affinity: None,
             max_in_flight: self.max_in_flight,
             allow_unavailable: false,
--- a/wisteriaford_core/src/gateway/schedule/progress.rs
+++ b/wisteriaford_core/src/gateway/schedule/progress.rs
@@ -7,6 +7,7 @@
 use crate::id::InstanceId;
 use crate::id::ItemId;
 use crate::id::JobId;
+use crate::id::SoftwareVersion;
 use crate::id::Version;
 
 /// Output of an item so far.
@@ -18,6 +19,8 @@
     pub last_event: Option<u64>,
     /// Versions of the weights that generated at least one event.
     pub versions: Vec<Version>,
+    /// Version of the software of the engines that generated it; `None` without events.
+    pub software: Option<SoftwareVersion>,
     /// Whether the last event ends the output.
     pub is_complete: bool,
 }
@@ -50,6 +53,8 @@
     pub last_event: u64,
     /// Versions of the weights that generated the item's events so far.
     pub versions: Vec<Version>,
+    /// Version of the software that generated the item's events; `None` if it isn't known.
+    pub software: Option<SoftwareVersion>,
     /// Whether the last event ends the output.
     pub is_complete: bool,
 }
@@ -81,6 +86,7 @@
                     events: events[item.saved_events..].to_vec(),
                     last_event,
                     versions: item.progress.versions.clone(),
+                    software: item.progress.software.clone(),
                     is_complete,
                 });
                 item.saved_events = events.len();
@@ -111,10 +117,15 @@
         if part.first_index > progress.events.len() {
             return;
         }
+        // A part that begins after events of another version would join two runs.
+        if part.first_index > 0 && progress.software != part.software {
+            return;
+        }
         progress.events.truncate(part.first_index);
         progress.events.extend(part.events);
         progress.last_event = Some(part.last_event);
         progress.versions = part.versions;
+        progress.software = part.software;
         progress.is_complete = part.is_complete;
     }
 
--- a/wisteriaford_core/src/gateway/schedule/run.rs
+++ b/wisteriaford_core/src/gateway/schedule/run.rs
@@ -12,7 +12,9 @@
 use crate::gateway::load_balancer::SelectionReason;
 use crate::gateway::route::RouteTable;
 use crate::id::Fingerprint;
+use crate::id::ItemId;
 use crate::id::JobId;
+use crate::id::SoftwareVersion;
 use crate::id::Version;
 use crate::time::Timestamp;
 
@@ -110,6 +112,19 @@
     pub result: ItemResult,
 }
 
+/// Output of an item that no endpoint can continue.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Discarded {
+    /// Batch job of the item.
+    pub job: JobId,
+    /// The item.
+    pub item: ItemId,
+    /// Version of the software that made the output.
+    pub software: SoftwareVersion,
+    /// Number of events.
+    pub events: usize,
+}
+
 /// State of an item after one of its runs ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RunEnd {
--- a/wisteriaford_core/src/gateway/schedule/scoring.rs
+++ b/wisteriaford_core/src/gateway/schedule/scoring.rs
@@ -368,6 +368,7 @@
         let query = SelectionCriteria {
             pool,
             tried: excluded,
+            software: None,
             affinity: None,
             max_in_flight: Some(calls.max_per_endpoint),
             allow_unavailable: false,
--- a/wisteriaford_core/tests/gateway_load_balancer.rs
+++ b/wisteriaford_core/tests/gateway_load_balancer.rs
@@ -32,6 +32,7 @@
     SelectionCriteria {
         pool,
         tried,
+        software: None,
         affinity: None,
         max_in_flight: None,
         allow_unavailable: true,
--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use wisteriaford_core::gateway::endpoint::Endpoint;
 use wisteriaford_core::gateway::job::FailureCounts;
 use wisteriaford_core::gateway::job::ItemState;
 use wisteriaford_core::gateway::route::RouteKind;
@@ -31,6 +32,7 @@
 use crate::fixtures::SUBMITTED_UNIX_MS;
 use crate::fixtures::accepted;
 use crate::fixtures::at;
+use crate::fixtures::endpoint;
 use crate::fixtures::fold;
 use crate::fixtures::item;
 use crate::fixtures::job;
@@ -435,6 +437,7 @@
         events: vec!["x".into(); count],
         last_event: (first_index + count) as u64,
         versions: vec![Version(version)],
+        software: Some("v1".into()),
         is_complete: false,
     };
 
@@ -525,3 +528,108 @@
     assert_eq!(item_ids(&on_trial), ["crashing"]);
     assert!(on_trial[0].alone);
 }
+
+fn with_software(name: &str, software: &str, slots: u32) -> Endpoint {
+    Endpoint {
+        pool: "engines".into(),
+        software: software.into(),
+        ..endpoint(name, "a", slots)
+    }
+}
+
+/// Guards against texts that hold events of two versions of the engines' software.
+#[test]
+fn an_item_goes_on_only_at_the_software_that_began_it() {
+    let mut harness = ScheduleHarness::new(&[], 1);
+    harness.endpoints.insert(with_software("old", "v1", 1));
+    harness.open(&job("j", vec![item("a", "g", 0)]));
+    let start = harness.starts(at(0)).remove(0);
+    harness.schedule.on_event(&start, 1, "one".into(), None);
+    harness.endpoints.insert(with_software("new", "v2", 4));
+    harness.end_run(at(10), &start, RunOutcome::Broken);
+
+    // The only engine of its version is full.
+    harness.load_balancer.record_start(&"old".into());
+    let while_full = harness.starts(at(1_000)).len();
+    harness.load_balancer.record_end(&"old".into());
+    let resumed = harness.starts(at(1_100)).remove(0);
+
+    assert_eq!(while_full, 0);
+    assert_eq!(resumed.endpoint.id.as_str(), "old");
+    assert_eq!(resumed.after_event, Some(1));
+}
+
+/// Guards against items that wait for good for an engine of a version that is gone.
+#[test]
+fn an_item_begins_anew_if_no_engine_of_its_software_is_left() {
+    let mut harness = ScheduleHarness::new(&[], 1);
+    harness.endpoints.insert(with_software("old", "v1", 1));
+    harness.open(&job("j", vec![item("a", "g", 0)]));
+    let start = harness.starts(at(0)).remove(0);
+    harness.schedule.on_event(&start, 1, "one".into(), None);
+    harness.endpoints.insert(with_software("new", "v2", 4));
+    harness.end_run(at(10), &start, RunOutcome::Broken);
+
+    harness.endpoints.remove(&"old".into(), None);
+    let discarding = harness.starts(at(100)).len();
+    let discarded = harness.schedule.take_discarded();
+    let anew = harness.starts(at(130)).remove(0);
+    harness.schedule.on_event(&anew, 1, "other".into(), None);
+    let end = harness.end_run(at(200), &anew, RunOutcome::Completed);
+
+    assert_eq!((discarding, discarded.len()), (0, 1));
+    assert_eq!((anew.endpoint.id.as_str(), anew.after_event), ("new", None));
+    assert_eq!(finished(&end).result.text, "other");
+}
+
+/// Guards against items that wait long for engines of their version that are full, while others are
+/// free.
+#[test]
+fn an_item_begins_anew_if_no_engine_of_its_software_has_room_for_long() {
+    let mut harness = ScheduleHarness::new(&[], 1);
+    harness.endpoints.insert(with_software("old", "v1", 1));
+    harness.open(&job("j", vec![item("a", "g", 0)]));
+    let start = harness.starts(at(0)).remove(0);
+    harness.schedule.on_event(&start, 1, "one".into(), None);
+    harness.endpoints.insert(with_software("new", "v2", 4));
+    harness.end_run(at(10), &start, RunOutcome::Broken);
+
+    harness.load_balancer.record_start(&"old".into());
+    let starts = [at(100), at(2_000), at(2_200), at(2_230)].map(|now| harness.starts(now).len());
+
+    assert_eq!(starts, [0, 0, 0, 1]);
+}
+
+/// Guards against saved output, of a leader that died, that is joined with that of another version.
+#[test]
+fn restored_output_is_of_one_software() {
+    let mut harness = ScheduleHarness::new(&[], 1);
+    harness.endpoints.insert(with_software("new", "v2", 4));
+    harness.endpoints.insert(with_software("old", "v1", 4));
+    let spec = job("j", vec![item("a", "g", 0), item("b", "g", 0)]);
+    let part = |index: usize, first_index, software: Option<&str>| ProgressPart {
+        job: spec.head.id.clone(),
+        item: spec.items[index].id.clone(),
+        first_index,
+        events: vec!["x".into(); 2],
+        last_event: first_index as u64 + 2,
+        versions: vec![Version(1)],
+        software: software.map(Into::into),
+        is_complete: false,
+    };
+
+    harness
+        .schedule
+        .restore(&"one".into(), part(0, 0, Some("v1")));
+    harness
+        .schedule
+        .restore(&"one".into(), part(0, 2, Some("v2")));
+    harness.schedule.restore(&"one".into(), part(1, 0, None));
+    harness.open(&spec);
+    let mut starts = harness.starts(at(0));
+    starts.sort_by(|a, b| a.item.id.cmp(&b.item.id));
+
+    let resumed = starts.iter().map(|start| start.after_event);
+    assert_eq!(resumed.collect::<Vec<_>>(), [Some(2), None]);
+    assert_eq!(starts[0].endpoint.id.as_str(), "old");
+}
--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -43,6 +43,7 @@
 use crate::settings::GatewaySettings;
 pub use crate::state::Adapters;
 use crate::state::Gateway;
+use crate::stream_origins;
 use crate::supervision::restart_on_panic;
 
 /// Time after the stop signal until the load balancer sends no new callers.
@@ -194,6 +195,7 @@
         caller_jobs::delete_expired,
     );
     supervise(gateway, "limits", permits::report);
+    supervise(gateway, "origins of streams", stream_origins::report);
     supervise(gateway, "connections", prune_connections);
     tokio::spawn(watch_settings(Arc::clone(gateway), hangup, source));
 }
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -31,6 +31,7 @@
 use wisteriaford_core::id::Fingerprint;
 use wisteriaford_core::id::PoolId;
 use wisteriaford_core::id::RequestId;
+use wisteriaford_core::id::SoftwareVersion;
 use wisteriaford_core::time::Timestamp;
 
 use crate::adapter::AnswerMetadata;
@@ -53,6 +54,7 @@
 use crate::state::Gateway;
 use crate::stream;
 use crate::stream::OpenStream;
+use crate::stream_origins;
 
 /// Timeout of a call if neither the caller nor the route sets one; all known routes do.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -91,6 +93,8 @@
     pub(crate) body: Bytes,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) deadline: Timestamp,
+    /// Version of the software that began the stream, if the caller continues one.
+    pub(crate) software: Option<SoftwareVersion>,
 }
 
 /// Outcome of an attempt.
@@ -164,6 +168,18 @@
     let Some(pool) = route.pool_for(head.request.as_str()) else {
         return refuse(Reason::NoEndpoint, Some(RETRY_AFTER));
     };
+    let software = match origin(gateway, head, route, pool).await {
+        Ok(software) => software,
+        Err(reason) => {
+            log::info!(
+                request:% = head.request, route:% = route.id, after_event = head.after_event,
+                continues = head.continues.as_ref().map(RequestId::as_str), reason:% = reason;
+                "stream not continued"
+            );
+            gateway.metrics.record_refusal(reason);
+            return refuse(reason, Some(RETRY_AFTER));
+        }
+    };
     let call = Call {
         head,
         route,
@@ -172,6 +188,7 @@
         fingerprint: fingerprint(head, parts, &body),
         body,
         deadline: arrived + time,
+        software,
     };
     let mut state = CallState::new(route);
     let finished = tokio::time::timeout(time, run_attempts(gateway, &call, &mut state)).await;
@@ -190,6 +207,20 @@
     }
 }
 
+/// Returns the version that must continue the stream which a caller takes up again, if it does.
+async fn origin(
+    gateway: &Gateway,
+    head: &CallerHead,
+    route: &Route,
+    pool: &PoolId,
+) -> Result<Option<SoftwareVersion>, Reason> {
+    if head.after_event.is_none() || !route.is_resumable() {
+        return Ok(None);
+    }
+    let found = stream_origins::find(gateway, head.continues.as_ref(), pool).await;
+    found.map(Some).ok_or(Reason::StreamOriginUnknown)
+}
+
 fn fingerprint(head: &CallerHead, parts: &Parts, body: &[u8]) -> Fingerprint {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     call_fingerprint(parts.method.as_str(), &head.host, path, body)
@@ -359,10 +390,11 @@
     })
 }
 
-fn criteria<'a>(call: &Call<'a>, attempts: &'a Attempts) -> SelectionCriteria<'a> {
+fn criteria<'a>(call: &'a Call<'_>, attempts: &'a Attempts) -> SelectionCriteria<'a> {
     SelectionCriteria {
         pool: call.pool,
         tried: attempts.tried(),
+        software: call.software.as_ref(),
         affinity: None,
         max_in_flight: None,
         allow_unavailable: true,
--- a/wisteriaford_gateway/src/lib.rs
+++ b/wisteriaford_gateway/src/lib.rs
@@ -38,4 +38,5 @@
 pub mod settings;
 mod state;
 mod stream;
+mod stream_origins;
 pub mod supervision;
--- a/wisteriaford_gateway/src/peers.rs
+++ b/wisteriaford_gateway/src/peers.rs
@@ -36,6 +36,7 @@
 use crate::relay_message;
 use crate::server;
 use crate::state::Gateway;
+use crate::stream_origins;
 
 /// Maximum wait of a read for addresses of instances, which change rarely.
 const INSTANCES_WAIT: Duration = Duration::from_secs(10);
@@ -146,7 +147,7 @@
     }
 }
 
-/// Serves relayed calls, crash reports and calls about limits until the process ends.
+/// Serves the calls of the other instances until the process ends.
 pub(crate) async fn serve(gateway: Arc<Gateway>, address: SocketAddr) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
@@ -163,12 +164,7 @@
 }
 
 async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Answer {
-    let path = request.uri().path();
-    let are_reports = path == REPORTS_PATH;
-    let is_about_limits = path == LIMITS_PATH;
-    if path != RELAY_PATH && !are_reports && !is_about_limits {
-        return empty_answer(StatusCode::NOT_FOUND);
-    }
+    let path = request.uri().path().to_owned();
     let max_bytes = gateway.log.limits().max_append_bytes + CALL_OVERHEAD_BYTES;
     let body = Limited::new(request.into_body(), max_bytes).collect().await;
     let body = match body {
@@ -178,16 +174,23 @@
             return empty_answer(StatusCode::BAD_REQUEST);
         }
     };
-    if are_reports {
-        return empty_answer(crash_reports::receive(gateway, &body));
-    }
-    if is_about_limits {
-        return match permits::receive(gateway, &body) {
-            Ok(answer) => Response::new(full_body(answer)),
-            Err(status) => empty_answer(status),
-        };
+    let message_answer = |answer: Result<Vec<u8>, StatusCode>| match answer {
+        Ok(answer) => Response::new(full_body(answer)),
+        Err(status) => empty_answer(status),
+    };
+    match path.as_str() {
+        RELAY_PATH => make_call(gateway, &body).await,
+        REPORTS_PATH => empty_answer(crash_reports::receive(gateway, &body)),
+        LIMITS_PATH => message_answer(permits::receive(gateway, &body)),
+        stream_origins::REPORT_PATH => empty_answer(stream_origins::receive(gateway, &body)),
+        stream_origins::QUERY_PATH => message_answer(stream_origins::answer(gateway, &body)),
+        _ => empty_answer(StatusCode::NOT_FOUND),
     }
-    let (topic, call) = match relay_message::decode_call(&body) {
+}
+
+/// Makes a call of the log on behalf of a peer.
+async fn make_call(gateway: &Gateway, body: &[u8]) -> Answer {
+    let (topic, call) = match relay_message::decode_call(body) {
         Ok(decoded) => decoded,
         Err(error) => {
             log::warn!(error:% = error; "relayed call refused");
--- a/wisteriaford_gateway/src/refusal.rs
+++ b/wisteriaford_gateway/src/refusal.rs
@@ -51,6 +51,10 @@
     /// The endpoints that are left limit their requests, and no more may be sent now.
     #[display("endpoints_limited")]
     EndpointsLimited,
+    /// The request continues a stream, and no instance that answers knows which version of the endpoints'
+    /// software began it.
+    #[display("stream_origin_unknown")]
+    StreamOriginUnknown,
     /// An endpoint may have run the request, but its answer was lost.
     #[display("answer_lost")]
     AnswerLost,
@@ -86,6 +90,7 @@
             | Self::NoEndpoint
             | Self::EndpointsFull
             | Self::EndpointsLimited
+            | Self::StreamOriginUnknown
             | Self::Quarantined
             | Self::LogUnavailable
             | Self::NotCurrent => StatusCode::SERVICE_UNAVAILABLE,
--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -14,6 +14,7 @@
 use wisteriaford_core::gateway::suspects::crash_id;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::Fingerprint;
+use wisteriaford_core::id::SoftwareVersion;
 use wisteriaford_core::time::Timestamp;
 
 use crate::clock;
@@ -126,6 +127,11 @@
         &self.endpoint.id
     }
 
+    /// Returns the version of the endpoint's software.
+    pub(crate) fn software(&self) -> &SoftwareVersion {
+        &self.endpoint.software
+    }
+
     /// Records that output has arrived.
     pub(crate) fn record_output(&mut self) {
         self.last_output_at = clock::now();
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -128,7 +128,15 @@
         log::info!(items = moved.len(); "items moved from slow engines");
         stop_runs(runs, &moved);
     }
-    for start in next_starts(gateway) {
+    let starts = next_starts(gateway);
+    for discarded in gateway.schedule().take_discarded() {
+        log::info!(
+            job:% = discarded.job, item:% = discarded.item, software:% = discarded.software,
+            events = discarded.events;
+            "item begins anew, no engine of its software can continue it"
+        );
+    }
+    for start in starts {
         let run = start.run;
         let task = tokio::spawn(run_item_to_end(Arc::clone(gateway), start));
         runs.insert(run, task.abort_handle());
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -27,17 +27,22 @@
 use wisteriaford_core::gateway::permits::PermitIssuer;
 use wisteriaford_core::gateway::route::RouteTable;
 use wisteriaford_core::gateway::schedule::Schedule;
+use wisteriaford_core::gateway::stream_origins::SoftwareHistory;
+use wisteriaford_core::gateway::stream_origins::StreamOrigins;
 use wisteriaford_core::gateway::suspects::StoredKeys;
 use wisteriaford_core::gateway::suspects::Suspects;
 use wisteriaford_core::gateway::suspects::crash_id;
 use wisteriaford_core::gateway::weights::WeightPlan;
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::ModelId;
+use wisteriaford_core::id::PoolId;
+use wisteriaford_core::id::SoftwareVersion;
 use wisteriaford_core::id::TableVersion;
 use wisteriaford_core::id::Version;
 use wisteriaford_core::pause::Confirmation;
 use wisteriaford_core::pause::PauseDetector;
 use wisteriaford_core::time::Timestamp;
+use wisteriaford_proto::streams::StreamOrigin;
 
 use crate::adapter::AnswerMetadata;
 use crate::adapter::CallerProtocol;
@@ -118,6 +123,10 @@
 /// Time after which a request is refused if the reads after a pause are not complete.
 const CURRENT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum age of the table of endpoints that tells which versions of the software a pool has; longer
+/// than a read of it waits.
+const MAX_SOLE_AGE: Duration = Duration::from_secs(2);
+
 /// Pauses of the process, and what must be read after one before requests are served.
 #[derive(Debug, Default)]
 struct PauseState {
@@ -167,6 +176,12 @@
     departures: Mutex<Departures>,
     announced_limits: Mutex<AnnouncedLimits>,
     permits: Mutex<PermitIssuer>,
+    stream_origins: Mutex<StreamOrigins>,
+    software_history: Mutex<SoftwareHistory>,
+    /// Streams that began here and that the other instances haven't been told of.
+    pub(crate) unreported_origins: Mutex<Vec<StreamOrigin>>,
+    /// Wakes the task that reports them.
+    pub(crate) origins_wake: Notify,
     /// Wakes the task that tells the leader of limits.
     pub(crate) limits_wake: Notify,
     jobs: Mutex<JobFold>,
@@ -223,6 +238,10 @@
             departures: Mutex::default(),
             announced_limits: Mutex::default(),
             permits: Mutex::default(),
+            stream_origins: Mutex::default(),
+            software_history: Mutex::default(),
+            unreported_origins: Mutex::default(),
+            origins_wake: Notify::new(),
             limits_wake: Notify::new(),
             jobs: Mutex::default(),
             leadership: Mutex::new(leadership),
@@ -272,6 +291,8 @@
 
     /// Puts a table of endpoints in force.
     pub(crate) fn store_endpoints(&self, table: &Arc<EndpointTable>) {
+        let before = Arc::clone(&self.view.load().endpoints);
+        lock(&self.software_history).record_replaced(clock::now(), &before);
         self.view.rcu(|view| {
             let mut view = View::clone(view);
             view.endpoints = Arc::clone(table);
@@ -296,6 +317,24 @@
         lock(&self.permits)
     }
 
+    /// Returns the versions that began streams.
+    pub(crate) fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        lock(&self.stream_origins)
+    }
+
+    /// Returns the only version of its endpoints' software that a pool had for as long as a stream may
+    /// last.
+    pub(crate) fn sole_software(&self, pool: &PoolId) -> Option<SoftwareVersion> {
+        let age = clock::now().since(self.freshness(Topic::Endpoints).as_of());
+        if age > MAX_SOLE_AGE {
+            return None;
+        }
+        let view = self.view.load();
+        let history = lock(&self.software_history);
+        let sole = history.sole(clock::now(), pool, &view.endpoints);
+        sole.cloned()
+    }
+
     /// Returns the right of this instance to issue permits, if it is the leader.
     pub(crate) fn issuing_term(&self) -> Option<IssuingTerm> {
         self.leadership()
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -21,6 +21,7 @@
 use wisteriaford_core::id::EndpointId;
 use wisteriaford_core::id::Fingerprint;
 use wisteriaford_core::id::PoolId;
+use wisteriaford_core::id::SoftwareVersion;
 use wisteriaford_core::time::Timestamp;
 
 use crate::adapter::CallerHead;
@@ -42,6 +43,7 @@
 use crate::run::RunPermit;
 use crate::sends::SendKind;
 use crate::state::Gateway;
+use crate::stream_origins;
 
 /// Maximum number of events that are buffered for a slow caller.
 const BUFFERED_EVENTS: usize = 16;
@@ -80,6 +82,8 @@
     deadline: Timestamp,
     attempts: Attempts,
     last_event: Option<u64>,
+    /// Version of the software that made the events sent to the caller.
+    software: Option<SoftwareVersion>,
 }
 
 /// Outcome of forwarding one endpoint's part of a stream.
@@ -115,6 +119,7 @@
         deadline: call.deadline,
         attempts,
         last_event: call.head.after_event,
+        software: call.software.clone(),
     };
     let (sender, receiver) = mpsc::channel(BUFFERED_EVENTS);
     tokio::spawn(forward_stream(streamed, open, sender));
@@ -244,6 +249,9 @@
             if event.id.is_some() && event.id <= call.last_event {
                 continue;
             }
+            if event.id.is_some() && call.route.is_resumable() {
+                record_origin(call, run);
+            }
             call.last_event = event.id.or(call.last_event);
             let frame = Frame::data(Bytes::from(event.raw));
             let remaining = call.deadline.since(clock::now());
@@ -257,6 +265,16 @@
     }
 }
 
+/// Records which version of the software begins the stream, before its first event is sent.
+fn record_origin(call: &mut StreamedCall, run: &Run) {
+    if call.software.is_some() {
+        return;
+    }
+    let software = run.software().clone();
+    stream_origins::record(&call.gateway, &call.head.request, &software);
+    call.software = Some(software);
+}
+
 /// Returns whether a stream that can be resumed stalled while its endpoint went on with others.
 fn is_stalled(call: &StreamedCall, endpoint: &EndpointId, events: &StreamEvents) -> bool {
     let now = clock::now();
@@ -299,6 +317,7 @@
                 body: call.body.clone(),
                 fingerprint: call.fingerprint,
                 deadline: call.deadline,
+                software: call.software.clone(),
             };
             build_request(&call.gateway, &forwarded, &endpoint, call.last_event)
         };
@@ -370,6 +389,7 @@
     SelectionCriteria {
         pool: &call.pool,
         tried: call.attempts.tried(),
+        software: call.software.as_ref(),
         affinity: None,
         max_in_flight: None,
         allow_unavailable: false,
--- a/wisteriaford_proto/src/lib.rs
+++ b/wisteriaford_proto/src/lib.rs
@@ -51,6 +51,12 @@
     include!("generated/wisteriaford.limits.rs");
 }
 
+/// Versions of software that began streams.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+pub mod streams {
+    include!("generated/wisteriaford.streams.rs");
+}
+
 /// Records of batch jobs and of leadership leases.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
 pub mod job {
--- a/wisteriaford_schema/src/main.rs
+++ b/wisteriaford_schema/src/main.rs
@@ -7,7 +7,7 @@
 
 const SCHEMA_DIR: &str = "wisteriaford_proto/proto";
 const OUTPUT_DIR: &str = "wisteriaford_proto/src/generated";
-const SCHEMAS: [&str; 11] = [
+const SCHEMAS: [&str; 12] = [
     "wisteriaford/settings.proto",
     "wisteriaford/record.proto",
     "wisteriaford/membership.proto",
@@ -16,6 +16,7 @@
     "wisteriaford/fleet.proto",
     "wisteriaford/peer.proto",
     "wisteriaford/limits.proto",
+    "wisteriaford/streams.proto",
     "wisteriaford/job.proto",
     "wisteriaford/relay.proto",
     "wisteriaford/quarantine.proto",
--- a/wisteriaford_standins/src/platform_endpoint.rs
+++ b/wisteriaford_standins/src/platform_endpoint.rs
@@ -55,6 +55,9 @@
     /// Time in milliseconds that a change of the weights takes
     #[arg(long, default_value_t = 200)]
     pub load_ms: u64,
+    /// Version of the software, which the events of streams end with; empty for none
+    #[arg(long, default_value = "")]
+    pub software: String,
 }
 
 /// Runs of one request.
@@ -351,7 +354,8 @@
             } else {
                 format!("x-weight-versions: {current}\n")
             };
-            let event = format!("{change}id: {number}\ndata: {id}-{number}\n\n");
+            let software = &self.settings.software;
+            let event = format!("{change}id: {number}\ndata: {id}-{number}{software}\n\n");
             connection.send_chunk(event.as_bytes())?;
         }
         if let Some(run) = self.state().runs.get_mut(id)
