Place items again under which endpoints crashed

Callers missed an item of a batch job after a burst of crashes: it was never placed again, although all was calm. Cause: the schedule asked the quarantine as calls do, which refuses a request for 4 s and then for 10 minutes; calls of scorers likewise. Crashes now delay an item by at most 4 s after the last one, and never refuse it: a batch job's items are owed.

The core's test places an item within 5 s after each of ten crashes.

--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -270,7 +270,7 @@
     /// `idle_connections` returns the number of open connections to an engine that are idle.
     /// `accepts` returns whether an engine has a version of the weights that the batch job accepts.
     /// `take_permit` takes the permit for a request of a priority that an engine with a limit on its
-    /// requests needs. Items whose earlier runs crashed engines wait as long as `suspects` refuses
+    /// requests needs. Items under which engines crashed wait for as long as `suspects` delays
     /// them.
     pub fn next_starts(
         &mut self,
@@ -316,7 +316,7 @@
                 });
                 let preferred = packed.as_ref().or(ready.affinity.as_ref());
                 // Only the leader runs items, so that a trial needs no record in the log.
-                let admission = suspects.admit(context.now, ready.fingerprint);
+                let admission = suspects.admit_owed(context.now, ready.fingerprint);
                 if matches!(admission, Admission::Refuse { .. }) {
                     continue;
                 }
--- a/wisteriaford_core/src/gateway/schedule/scoring.rs
+++ b/wisteriaford_core/src/gateway/schedule/scoring.rs
@@ -186,7 +186,7 @@
                 continue;
             }
             let fingerprint = scorer_fingerprint(&scorer);
-            let admission = suspects.admit(context.now, fingerprint);
+            let admission = suspects.admit_owed(context.now, fingerprint);
             if matches!(admission, Admission::Refuse { .. }) {
                 continue;
             }
--- a/wisteriaford_core/src/gateway/suspects.rs
+++ b/wisteriaford_core/src/gateway/suspects.rs
@@ -39,6 +39,8 @@
 pub const LOST_SILENCE: Duration = Duration::from_secs(1);
 /// Time for which another instance's trial keeps this one from running the request.
 pub const TRIAL_TTL: Duration = Duration::from_secs(2);
+/// Maximum time for which a crash keeps an item from running.
+const MAX_OWED_DELAY: Duration = Duration::from_secs(4);
 /// Delay after which a request may come again that was refused because a repeat of it is running.
 const REPEAT_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Time from the loss of a run to the confirmation that its endpoint crashed: an entry expires some
@@ -179,6 +181,25 @@
         admission
     }
 
+    /// Returns whether an item, or the call of its scorer, may run now.
+    ///
+    /// Batch jobs bring no requests that crash endpoints by themselves, so that crashes delay them but
+    /// never keep them from running: they are owed.
+    pub fn admit_owed(&mut self, now: Timestamp, fingerprint: Fingerprint) -> Admission {
+        let admission = self.admit(now, fingerprint);
+        let is_due = || {
+            let last_crash_at = self
+                .quarantine
+                .last_crash_at(now, fingerprint, CRASH_RETENTION);
+            last_crash_at.is_some_and(|at| now.since(at) >= MAX_OWED_DELAY)
+        };
+        let is_refused = matches!(admission, Admission::Refuse { .. });
+        if is_refused && is_due() && self.running_alone.insert(fingerprint) {
+            return Admission::RunAlone;
+        }
+        admission
+    }
+
     /// Records that a request that ran alone, or was about to, no longer runs.
     pub fn end_alone(&mut self, fingerprint: Fingerprint) {
         self.running_alone.swap_remove(&fingerprint);
--- a/wisteriaford_core/src/quarantine.rs
+++ b/wisteriaford_core/src/quarantine.rs
@@ -266,6 +266,18 @@
         self.evidence(now, fingerprint, duration).is_some()
     }
 
+    /// Returns the time of the last crash that counts against a request.
+    #[must_use]
+    pub fn last_crash_at(
+        &self,
+        now: Timestamp,
+        fingerprint: Fingerprint,
+        duration: Duration,
+    ) -> Option<Timestamp> {
+        let evidence = self.evidence(now, fingerprint, duration)?;
+        Some(evidence.last_seen_at)
+    }
+
     /// Returns crash reports to send, the least often sent first, and removes expired ones.
     pub fn updates(&mut self, now: Timestamp) -> Vec<Suspect> {
         self.remove_expired(now);
--- a/wisteriaford_core/tests/gateway_suspects.rs
+++ b/wisteriaford_core/tests/gateway_suspects.rs
@@ -471,3 +471,32 @@
     assert_eq!(read.age_ms, 1_100);
     assert_eq!(at(1_100), Timestamp::from_millis(read.age_ms));
 }
+
+/// Guards against an item that is never placed again after several endpoints crashed under it.
+#[test]
+fn an_item_under_which_endpoints_crashed_is_owed() {
+    let mut suspects = Suspects::default();
+    let mut now = START;
+    let mut delays = Vec::new();
+
+    for number in 0..10 {
+        let mut delay = Duration::ZERO;
+        while matches!(
+            suspects.admit_owed(now + delay, SUSPECT),
+            Admission::Refuse { .. }
+        ) {
+            delay += Duration::from_millis(100);
+            assert!(delay < Duration::from_secs(5), "crash {number}: not placed");
+        }
+        suspects.end_alone(SUSPECT);
+        delays.push(delay);
+        now = now + delay + CRASH_INTERVAL;
+        crash(&mut suspects, &format!("e-{number}"), broken_run(now));
+    }
+
+    // Crashes in a row delay it all the same.
+    assert!(
+        delays[3..].iter().all(|delay| !delay.is_zero()),
+        "{delays:?}"
+    );
+}
