--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -4,6 +4,8 @@
 //! endpoint, the first answer wins and the other attempt is cancelled. Any other call is retried
 //! only if the endpoint guaranteed that it did not run, or nothing was sent.
 
+mod choice;
+
 use std::sync::Arc;
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -21,10 +23,7 @@
 use wisteriaford_core::gateway::attempts::Attempts;
 use wisteriaford_core::gateway::endpoint::Endpoint;
 use wisteriaford_core::gateway::fingerprint::call_fingerprint;
-use wisteriaford_core::gateway::load_balancer::CALL_COSTS;
 use wisteriaford_core::gateway::load_balancer::LoadBalancer;
-use wisteriaford_core::gateway::load_balancer::SelectionCriteria;
-use wisteriaford_core::gateway::load_balancer::SelectionReason;
 use wisteriaford_core::gateway::route::Route;
 use wisteriaford_core::gateway::suspects::Loss;
 use wisteriaford_core::id::EndpointId;
@@ -41,8 +40,10 @@
 use crate::client::CallError;
 use crate::client::IncomingAnswer;
 use crate::clock;
-use crate::permits;
-use crate::permits::Selection;
+use crate::forward::choice::CallState;
+use crate::forward::choice::exhausted;
+use crate::forward::choice::hedge_endpoint;
+use crate::forward::choice::next_endpoint;
 use crate::refusal::Answer;
 use crate::refusal::Reason;
 use crate::refusal::full_body;
@@ -67,8 +68,6 @@
 const DEFAULT_HEDGE_DELAY: Duration = Duration::from_millis(250);
 /// `Retry-After` of calls that did not run, about the duration of a few calls.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
-/// Minimum `Retry-After` of calls that limits of the endpoints don't allow.
-const MIN_LIMIT_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Part of a call's timeout that is reserved for returning the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
@@ -126,32 +125,6 @@
     }
 }
 
-/// State of a call across its attempts.
-struct CallState {
-    attempts: Attempts,
-    may_have_run: bool,
-    /// Whether the last attempt was one of a request that may run only alone.
-    alone: bool,
-    /// Time until the call may be sent again, if it was refused as quarantined or by a limit.
-    retry_after: Option<Duration>,
-    /// Whether the endpoints that are left limit their requests.
-    is_limited: bool,
-    failure: Option<Answered>,
-}
-
-impl CallState {
-    fn new(route: &Route) -> Self {
-        Self {
-            attempts: Attempts::new(route.max_attempts),
-            may_have_run: false,
-            alone: false,
-            retry_after: None,
-            is_limited: false,
-            failure: None,
-        }
-    }
-}
-
 /// Forwards a call and returns its answer.
 pub(crate) async fn forward(
     gateway: &Arc<Gateway>,
@@ -376,93 +349,6 @@
     }
 }
 
-/// Returns the outcome of a call that has no endpoint left to try.
-fn exhausted(state: &mut CallState) -> Result<(Endpoint, Answered), Reason> {
-    if state.may_have_run {
-        return Err(Reason::AnswerLost);
-    }
-    Err(if state.is_limited {
-        Reason::EndpointsLimited
-    } else if state.attempts.tried().is_empty() {
-        Reason::NoEndpoint
-    } else {
-        Reason::EndpointsFull
-    })
-}
-
-fn criteria<'a>(call: &'a Call<'_>, attempts: &'a Attempts) -> SelectionCriteria<'a> {
-    SelectionCriteria {
-        pool: call.pool,
-        tried: attempts.tried(),
-        software: call.software.as_ref(),
-        affinity: None,
-        max_in_flight: None,
-        allow_unavailable: true,
-        prefer_proven: !call.route.is_idempotent(),
-        costs: CALL_COSTS,
-    }
-}
-
-/// Chooses the endpoint of the next attempt and registers the attempt with the load balancer.
-async fn next_endpoint(
-    gateway: &Gateway,
-    call: &Call<'_>,
-    state: &mut CallState,
-) -> Option<Endpoint> {
-    if !state.attempts.may_try() {
-        return None;
-    }
-    let query = criteria(call, &state.attempts);
-    match permits::select(gateway, &query, call.route.priority).await {
-        Selection::Selected(endpoint, reason) => {
-            register_attempt(gateway, call, state, &endpoint, reason);
-            Some(endpoint)
-        }
-        Selection::Limited { retry_after } => {
-            state.is_limited = true;
-            state.retry_after = Some(retry_after.max(MIN_LIMIT_RETRY_AFTER));
-            None
-        }
-        Selection::NoEndpoint => None,
-    }
-}
-
-/// Chooses the endpoint of a hedge and registers it with the load balancer; none that limits its
-/// requests.
-fn hedge_endpoint(gateway: &Gateway, call: &Call<'_>, state: &mut CallState) -> Option<Endpoint> {
-    if !state.attempts.may_try() {
-        return None;
-    }
-    let view = gateway.view.load();
-    let (endpoint, reason) = {
-        let load_balancer = gateway.load_balancer();
-        let limits = gateway.announced_limits();
-        let query = criteria(call, &state.attempts);
-        let idle = |id: &EndpointId| gateway.idle_connections(&view, id);
-        let accepts = |endpoint: &Endpoint| limits.get(endpoint).is_none();
-        load_balancer.select(clock::now(), &view.endpoints, &query, idle, accepts)?
-    };
-    register_attempt(gateway, call, state, endpoint, reason);
-    Some(endpoint.clone())
-}
-
-fn register_attempt(
-    gateway: &Gateway,
-    call: &Call<'_>,
-    state: &mut CallState,
-    endpoint: &Endpoint,
-    reason: SelectionReason,
-) {
-    gateway.load_balancer().record_start(&endpoint.id);
-    log::debug!(
-        request:% = call.head.request, endpoint:% = endpoint.id, in_flight = reason.in_flight,
-        relative_pace = reason.relative_pace, candidates = reason.candidates,
-        forced = reason.forced;
-        "endpoint chosen"
-    );
-    state.attempts.record(endpoint.id.clone());
-}
-
 fn hedge_delay(gateway: &Gateway, call: &Call<'_>) -> Duration {
     let usual = gateway.load_balancer().median_pace(call.pool);
     usual.map_or(DEFAULT_HEDGE_DELAY, |usual| {
--- /dev/null
+++ b/wisteriaford_gateway/src/forward/choice.rs
@@ -0,0 +1,138 @@
+//! Choice of the endpoint for the next attempt of a call.
+
+use std::time::Duration;
+
+use wisteriaford_core::gateway::attempts::Attempts;
+use wisteriaford_core::gateway::endpoint::Endpoint;
+use wisteriaford_core::gateway::load_balancer::CALL_COSTS;
+use wisteriaford_core::gateway::load_balancer::SelectionCriteria;
+use wisteriaford_core::gateway::load_balancer::SelectionReason;
+use wisteriaford_core::gateway::route::Route;
+use wisteriaford_core::id::EndpointId;
+
+use crate::clock;
+use crate::forward::Answered;
+use crate::forward::Call;
+use crate::permits;
+use crate::permits::Selection;
+use crate::refusal::Reason;
+use crate::state::Gateway;
+
+/// Minimum `Retry-After` of calls that limits of the endpoints don't allow.
+const MIN_LIMIT_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// State of a call across its attempts.
+pub(super) struct CallState {
+    pub(super) attempts: Attempts,
+    pub(super) may_have_run: bool,
+    /// Whether the last attempt was one of a request that may run only alone.
+    pub(super) alone: bool,
+    /// Time until the call may be sent again, if it was refused as quarantined or by a limit.
+    pub(super) retry_after: Option<Duration>,
+    /// Whether the endpoints that are left limit their requests.
+    is_limited: bool,
+    pub(super) failure: Option<Answered>,
+}
+
+impl CallState {
+    pub(super) fn new(route: &Route) -> Self {
+        Self {
+            attempts: Attempts::new(route.max_attempts),
+            may_have_run: false,
+            alone: false,
+            retry_after: None,
+            is_limited: false,
+            failure: None,
+        }
+    }
+}
+
+/// Returns the outcome of a call that has no endpoint left to try.
+pub(super) fn exhausted(state: &mut CallState) -> Result<(Endpoint, Answered), Reason> {
+    if state.may_have_run {
+        return Err(Reason::AnswerLost);
+    }
+    Err(if state.is_limited {
+        Reason::EndpointsLimited
+    } else if state.attempts.tried().is_empty() {
+        Reason::NoEndpoint
+    } else {
+        Reason::EndpointsFull
+    })
+}
+
+fn criteria<'a>(call: &'a Call<'_>, attempts: &'a Attempts) -> SelectionCriteria<'a> {
+    SelectionCriteria {
+        pool: call.pool,
+        tried: attempts.tried(),
+        software: call.software.as_ref(),
+        affinity: None,
+        max_in_flight: None,
+        allow_unavailable: true,
+        prefer_proven: !call.route.is_idempotent(),
+        costs: CALL_COSTS,
+    }
+}
+
+/// Chooses the endpoint of the next attempt and registers the attempt with the load balancer.
+pub(super) async fn next_endpoint(
+    gateway: &Gateway,
+    call: &Call<'_>,
+    state: &mut CallState,
+) -> Option<Endpoint> {
+    if !state.attempts.may_try() {
+        return None;
+    }
+    let query = criteria(call, &state.attempts);
+    match permits::select(gateway, &query, call.route.priority).await {
+        Selection::Selected(endpoint, reason) => {
+            register_attempt(gateway, call, state, &endpoint, reason);
+            Some(endpoint)
+        }
+        Selection::Limited { retry_after } => {
+            state.is_limited = true;
+            state.retry_after = Some(retry_after.max(MIN_LIMIT_RETRY_AFTER));
+            None
+        }
+        Selection::NoEndpoint => None,
+    }
+}
+
+/// Chooses the endpoint of a hedge and registers it with the load balancer; none that limits its
+/// requests.
+pub(super) fn hedge_endpoint(
+    gateway: &Gateway,
+    call: &Call<'_>,
+    state: &mut CallState,
+) -> Option<Endpoint> {
+    if !state.attempts.may_try() {
+        return None;
+    }
+    let view = gateway.view.load();
+    let (endpoint, reason) = {
+        let load_balancer = gateway.load_balancer();
+        let limits = gateway.announced_limits();
+        let query = criteria(call, &state.attempts);
+        let idle = |id: &EndpointId| gateway.idle_connections(&view, id);
+        let accepts = |endpoint: &Endpoint| limits.get(endpoint).is_none();
+        load_balancer.select(clock::now(), &view.endpoints, &query, idle, accepts)?
+    };
+    register_attempt(gateway, call, state, endpoint, reason);
+    Some(endpoint.clone())
+}
+
+fn register_attempt(
+    gateway: &Gateway,
+    call: &Call<'_>,
+    state: &mut CallState,
+    endpoint: &Endpoint,
+    reason: SelectionReason,
+) {
+    gateway.load_balancer().record_start(&endpoint.id);
+    log::debug!(
+        request:% = call.head.request, endpoint:% = endpoint.id, in_flight = reason.in_flight,
+        relative_pace = reason.relative_pace, candidates = reason.candidates,
+        forced = reason.forced;
+        "endpoint chosen"
+    );
+    state.attempts.record(endpoint.id.clone());
+}
