Keep the output of items while no other engine has room

The choice by software discarded an item's output after 2 s without a place, or as soon as no engine was listed, also where all engines were full or gone for a while, or of one version: the item lost what it had for nothing. Output is discarded only if an engine of other software has room. The new test fails without the change (items full or gone are begun anew).

--- a/wisteriaford_core/src/gateway/schedule.rs
+++ b/wisteriaford_core/src/gateway/schedule.rs
@@ -334,7 +334,11 @@
                     if alone {
                         suspects.end_alone(ready.fingerprint);
                     }
-                    let discarded = active.on_unplaced(id, ready.pool, context);
+                    let has_room = |endpoint: &Endpoint| {
+                        load_balancer.is_available(context.now, &endpoint.id)
+                            && load_balancer.in_flight(&endpoint.id) < endpoint.slots
+                    };
+                    let discarded = active.on_unplaced(id, ready.pool, context, has_room);
                     self.discarded.extend(discarded);
                     continue;
                 };
@@ -391,8 +395,8 @@
     /// Requeues items of slow engines while other engines have free slots; returns the runs to
     /// stop.
     ///
-    /// `accepts` returns whether an engine may receive moved items. Moving an item is cheap: the next engine reads the output generated so far much faster than
-    /// it was generated.
+    /// `accepts` returns whether an engine may receive moved items. Moving an item is cheap: the next
+    /// engine reads the output generated so far much faster than it was generated.
     pub fn move_from_slow_engines(
         &mut self,
         now: Timestamp,
--- a/wisteriaford_core/src/gateway/schedule/active.rs
+++ b/wisteriaford_core/src/gateway/schedule/active.rs
@@ -193,23 +193,28 @@
         Some((model, item.spec.tokens))
     }
 
-    /// Handles that no engine could take an item now. Its output is discarded if there is no engine of
-    /// the software that made it, or none could continue it for [`RESUME_PATIENCE`]: a run of another
-    /// version begins anew.
+    /// Handles that no engine could take an item now. If an engine of other software has room, as
+    /// `has_room` tells, the output is discarded and the item begins anew there: at once if no engine of
+    /// the software that made the output is left, else after [`RESUME_PATIENCE`].
     pub(super) fn on_unplaced(
         &mut self,
         id: &ItemId,
         pool: &PoolId,
         context: &DispatchContext<'_>,
+        has_room: impl Fn(&Endpoint) -> bool,
     ) -> Option<Discarded> {
         let item = self.items.get_mut(id)?;
         let software = item.progress.software.clone()?;
         let since = *item.unplaced_since.get_or_insert(context.now);
-        let mut serving = context.endpoints.serving(pool);
-        let is_served = serving.any(|endpoint| endpoint.software == software);
+        let serving = || context.endpoints.serving(pool);
+        let is_served = serving().any(|endpoint| endpoint.software == software);
         if is_served && context.now.since(since) < RESUME_PATIENCE {
             return None;
         }
+        let mut others = serving().filter(|endpoint| endpoint.software != software);
+        if !others.any(has_room) {
+            return None;
+        }
         let discarded = Discarded {
             job: self.head.id.clone(),
             item: id.clone(),
--- a/wisteriaford_core/tests/gateway_schedule.rs
+++ b/wisteriaford_core/tests/gateway_schedule.rs
@@ -600,6 +600,33 @@
     assert_eq!(starts, [0, 0, 0, 1]);
 }
 
+/// Guards against output that is discarded although no other engine could take the item: all are
+/// full, or all are gone for a while.
+#[test]
+fn an_item_keeps_its_output_while_no_engine_has_room() {
+    let mut harness = ScheduleHarness::new(&[], 1);
+    harness.endpoints.insert(with_software("old", "v1", 1));
+    harness.endpoints.insert(with_software("new", "v2", 1));
+    harness.open(&job("j", vec![item("a", "g", 0)]));
+    let start = harness.starts_where(at(0), |id| id == "old").remove(0);
+    harness.schedule.on_event(&start, 1, "one".into(), None);
+    harness.end_run(at(10), &start, RunOutcome::Broken);
+
+    for endpoint in ["old", "new"] {
+        harness.load_balancer.record_start(&endpoint.into());
+    }
+    let while_full = [at(100), at(9_000)].map(|now| harness.starts(now).len());
+    for endpoint in ["old", "new"] {
+        harness.endpoints.remove(&endpoint.into(), None);
+    }
+    let while_gone = harness.starts(at(20_000)).len();
+    harness.endpoints.insert(with_software("back", "v1", 1));
+    let resumed = harness.starts(at(20_100)).remove(0);
+
+    assert_eq!((while_full, while_gone), ([0, 0], 0));
+    assert_eq!(resumed.after_event, Some(1));
+}
+
 /// Guards against saved output, of a leader that died, that is joined with that of another version.
 #[test]
 fn restored_output_is_of_one_software() {
