Log whether others reach an endpoint to which a connection failed

An instance now asks others to connect to the endpoint (an upgrade of the internal HTTP server, refused where the endpoint isn't known or leaves), and logs the answer with the age of its own last connection. Counters of failed and of carried connections.

--- a/wisteriaford_core/src/gateway.rs
+++ b/wisteriaford_core/src/gateway.rs
@@ -6,12 +6,14 @@
 
 pub mod announced_limits;
 pub mod attempts;
+pub mod carriers;
 pub mod departures;
 pub mod endpoint;
 pub mod fingerprint;
 pub mod job;
 pub mod job_fold;
 pub mod leadership;
+pub mod links;
 pub mod load_balancer;
 pub mod permits;
 pub mod record;
--- /dev/null
+++ b/wisteriaford_core/src/gateway/carriers.rs
@@ -0,0 +1,79 @@
+//! Choice of the instances over which endpoints are connected to.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+
+use crate::hash::rendezvous_rank;
+use crate::time::Timestamp;
+
+/// Time for which an instance that couldn't carry a connection comes last.
+const FAILURE_TIME: Duration = Duration::from_secs(2);
+/// Time for which the instance at either end of a carried connection is told of departures.
+const PARTNER_TIME: Duration = Duration::from_secs(12);
+
+/// What an instance knows of those that carry its connections, and of those whose it carries.
+#[derive(Clone, Debug, Default)]
+pub struct Carriers {
+    /// Instance that carried the last connection.
+    last_good: Option<CompactString>,
+    failed_at: IndexMap<CompactString, Timestamp>,
+    /// Time of the last carried connection with each instance, in either direction.
+    partners: IndexMap<CompactString, Timestamp>,
+}
+
+impl Carriers {
+    /// Returns up to `count` instances in the order in which they are asked to carry a connection.
+    ///
+    /// Each instance has an order of its own, so that the instances that are cut off spread over the
+    /// others.
+    pub fn order<'a>(
+        &self,
+        now: Timestamp,
+        own_host: &str,
+        hosts: impl Iterator<Item = &'a CompactString>,
+        count: usize,
+    ) -> Vec<&'a CompactString> {
+        let mut ranked: Vec<_> = hosts
+            .map(|host| {
+                let failed_at = self.failed_at.get(host);
+                let has_failed = failed_at.is_some_and(|at| now.since(*at) < FAILURE_TIME);
+                let is_last_good = self.last_good.as_ref() == Some(host);
+                let rank = Reverse(rendezvous_rank(own_host, host));
+                (has_failed, !is_last_good, rank, host)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.truncate(count);
+        ranked.into_iter().map(|(.., host)| host).collect()
+    }
+
+    /// Records that an instance carries a connection for this one.
+    pub fn record_good(&mut self, now: Timestamp, host: &CompactString) {
+        self.failed_at.swap_remove(host);
+        self.last_good = Some(host.clone());
+        self.record_partner(now, host);
+    }
+
+    /// Records that an instance couldn't carry a connection.
+    pub fn record_failed(&mut self, now: Timestamp, host: &CompactString) {
+        self.failed_at
+            .retain(|_, failed_at| now.since(*failed_at) < FAILURE_TIME);
+        self.failed_at.insert(host.clone(), now);
+    }
+
+    /// Records that there is a carried connection between an instance and this one.
+    pub fn record_partner(&mut self, now: Timestamp, host: &CompactString) {
+        self.partners.retain(|_, at| now.since(*at) < PARTNER_TIME);
+        self.partners.insert(host.clone(), now);
+    }
+
+    /// Returns the instances with which this one has, or lately had, carried connections.
+    pub fn partners(&self, now: Timestamp) -> impl Iterator<Item = &CompactString> {
+        let partners = self.partners.iter();
+        let recent = partners.filter(move |(_, at)| now.since(**at) < PARTNER_TIME);
+        recent.map(|(host, _)| host)
+    }
+}
--- /dev/null
+++ b/wisteriaford_core/src/gateway/links.rs
@@ -0,0 +1,211 @@
+//! What an instance knows of its own links to endpoints.
+//!
+//! A connection that fails doesn't tell whether its endpoint is down or the instance is cut off. Another
+//! instance that connects to the endpoint at the same time does.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::id::EndpointId;
+use crate::time::Timestamp;
+
+/// Number of endpoints that only others reach from which the instance counts as cut off, unless fewer are
+/// known.
+const ENDPOINTS_TO_CUT: usize = 2;
+/// Time for which an endpoint that only others reach is connected to over them first.
+const CARRY_TIME: Duration = Duration::from_secs(2);
+/// Time for which an endpoint that nobody reached is not looked for over others.
+const UNREACHED_TIME: Duration = Duration::from_secs(1);
+/// Age up to which a connection to one endpoint shows that a failed one to another is not the instance's
+/// own fault.
+const PROOF_TIME: Duration = Duration::from_millis(200);
+
+/// How to connect to an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// Directly.
+    Direct,
+    /// Over another instance.
+    Carried,
+}
+
+/// Change of the links, for logging.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkChange {
+    /// The instance is cut off from endpoints that others reach.
+    Cut {
+        /// Time since the first connection that failed.
+        failing_for: Duration,
+    },
+    /// The instance connected to an endpoint again.
+    Restored {
+        /// Time since the first connection that failed.
+        cut_for: Duration,
+        /// First connection that failed.
+        failing_since: Timestamp,
+    },
+}
+
+/// Endpoint that the instance failed to connect to.
+#[derive(Clone, Copy, Debug)]
+struct FailedLink {
+    first_failure: Timestamp,
+    failed_at: Timestamp,
+    /// Time at which another instance connected to it.
+    reached_at: Option<Timestamp>,
+    /// Time at which no other instance could connect to it either.
+    unreached_at: Option<Timestamp>,
+}
+
+/// Links of an instance to the endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    /// Endpoints that the instance has not connected to since it failed to.
+    failed: IndexMap<EndpointId, FailedLink>,
+    /// Time of the last direct connection to any endpoint.
+    connected_at: Timestamp,
+    /// First failed connection of the cut in progress.
+    cut_since: Option<Timestamp>,
+    /// Time from which the instance has known that it is cut off.
+    cut_known_at: Timestamp,
+}
+
+impl Links {
+    /// Returns how to connect to an endpoint.
+    #[must_use]
+    pub fn way(&self, now: Timestamp, endpoint: &EndpointId) -> Way {
+        let failed = self.failed.get(endpoint);
+        let reached_at = failed.and_then(|failed| failed.reached_at);
+        let is_carried = reached_at.is_some_and(|at| now.since(at) < CARRY_TIME);
+        if self.is_cut() || is_carried {
+            Way::Carried
+        } else {
+            Way::Direct
+        }
+    }
+
+    /// Returns whether another instance may reach an endpoint to which a direct connection that began at
+    /// `began_at` has not come about.
+    #[must_use]
+    pub fn may_carry(&self, now: Timestamp, began_at: Timestamp, endpoint: &EndpointId) -> bool {
+        if self.is_cut() {
+            return true;
+        }
+        let failed = self.failed.get(endpoint);
+        let unreached_at = failed.and_then(|failed| failed.unreached_at);
+        let is_unreached = unreached_at.is_some_and(|at| now.since(at) < UNREACHED_TIME);
+        !is_unreached && !self.is_proven_since(began_at - PROOF_TIME)
+    }
+
+    /// Returns whether the instance connected to an endpoint at a time or later.
+    #[must_use]
+    pub fn is_proven_since(&self, since: Timestamp) -> bool {
+        self.connected_at >= since && self.connected_at > Timestamp::default()
+    }
+
+    /// Returns whether the instance is cut off from endpoints that others reach.
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        self.cut_since.is_some()
+    }
+
+    /// Returns for how long the instance has known that it is cut off.
+    #[must_use]
+    pub fn known_cut_time(&self, now: Timestamp) -> Option<Duration> {
+        self.cut_since.map(|_| now.since(self.cut_known_at))
+    }
+
+    /// Returns the time of the last direct connection to any endpoint.
+    #[must_use]
+    pub fn connected_at(&self) -> Timestamp {
+        self.connected_at
+    }
+
+    /// Returns an endpoint that the instance failed to connect to, another one for each `turn`.
+    #[must_use]
+    pub fn failed_endpoint(&self, turn: usize) -> Option<&EndpointId> {
+        let index = turn.checked_rem(self.failed.len())?;
+        self.failed.get_index(index).map(|(endpoint, _)| endpoint)
+    }
+
+    /// Records a direct connection to an endpoint.
+    pub fn record_connected(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+    ) -> Option<LinkChange> {
+        self.connected_at = now;
+        let Some(failing_since) = self.cut_since.take() else {
+            self.failed.swap_remove(endpoint);
+            return None;
+        };
+        self.failed.clear();
+        Some(LinkChange::Restored {
+            cut_for: now.since(failing_since),
+            failing_since,
+        })
+    }
+
+    /// Records that a direct connection to an endpoint failed, or has not come about.
+    pub fn record_failed(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        let failed = self.failed.entry(endpoint.clone()).or_insert(FailedLink {
+            first_failure: now,
+            failed_at: now,
+            reached_at: None,
+            unreached_at: None,
+        });
+        // An old failure has nothing to do with this one.
+        if now.since(failed.failed_at) > CARRY_TIME {
+            failed.first_failure = now;
+            failed.reached_at = None;
+        }
+        failed.failed_at = now;
+    }
+
+    /// Records that another instance connected to an endpoint that this one failed to connect to;
+    /// `known_endpoints` is the number of endpoints that there are.
+    pub fn record_reached(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        known_endpoints: usize,
+    ) -> Option<LinkChange> {
+        let failed = self.failed.get_mut(endpoint)?;
+        failed.reached_at = Some(now);
+        failed.unreached_at = None;
+        if self.is_cut() {
+            return None;
+        }
+        let connected_at = self.connected_at;
+        let out_of_reach = self.failed.values().filter(|failed| {
+            let is_recent = failed
+                .reached_at
+                .is_some_and(|at| now.since(at) < CARRY_TIME);
+            is_recent && failed.failed_at > connected_at
+        });
+        let count = out_of_reach.clone().count();
+        if count < ENDPOINTS_TO_CUT.min(known_endpoints) {
+            return None;
+        }
+        let failing_since = out_of_reach.map(|failed| failed.first_failure).min()?;
+        self.cut_since = Some(failing_since);
+        self.cut_known_at = now;
+        Some(LinkChange::Cut {
+            failing_for: now.since(failing_since),
+        })
+    }
+
+    /// Records that no other instance connected to an endpoint that this one failed to connect to.
+    pub fn record_unreached(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        if let Some(failed) = self.failed.get_mut(endpoint) {
+            failed.reached_at = None;
+            failed.unreached_at = Some(now);
+        }
+    }
+
+    /// Forgets the endpoints that `is_known` rejects.
+    pub fn retain(&mut self, is_known: impl Fn(&EndpointId) -> bool) {
+        self.failed.retain(|endpoint, _| is_known(endpoint));
+    }
+}
--- a/wisteriaford_gateway/src/budgeted_stream.rs
+++ b/wisteriaford_gateway/src/budgeted_stream.rs
@@ -15,7 +15,6 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 
 /// Number of bytes that may still be read, shared by a connection and its user.
 #[derive(Clone, Debug, Default)]
@@ -50,20 +49,20 @@
 
 /// Connection whose reads fail once its budget is used up.
 #[derive(Debug)]
-pub(crate) struct BudgetedStream {
-    stream: TcpStream,
+pub(crate) struct BudgetedStream<S> {
+    stream: S,
     budget: ReadBudget,
 }
 
-impl BudgetedStream {
+impl<S> BudgetedStream<S> {
     /// Wraps a connection; its budget isn't limited at first.
-    pub(crate) fn new(stream: TcpStream, budget: ReadBudget) -> Self {
+    pub(crate) fn new(stream: S, budget: ReadBudget) -> Self {
         budget.lift();
         Self { stream, budget }
     }
 }
 
-impl AsyncRead for BudgetedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for BudgetedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -81,7 +80,7 @@
     }
 }
 
-impl AsyncWrite for BudgetedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for BudgetedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/wisteriaford_gateway/src/client.rs
+++ b/wisteriaford_gateway/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for calls to endpoints, peers and the log.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -203,7 +204,23 @@
         request: EndpointRequest,
         fresh: bool,
     ) -> Result<IncomingAnswer, CallError> {
-        let mut connection = self.pool.get(peer, address, fresh).await?;
+        let connection = self.pool.get(peer, address, fresh).await?;
+        self.send(connection, peer, address, request).await
+    }
+
+    /// Returns an idle connection to a peer, if there is one.
+    pub(crate) async fn take_idle(&self, peer: &str, address: SocketAddr) -> Option<Connection> {
+        self.pool.take_ready(peer, address).await
+    }
+
+    /// Sends a request over a connection and returns the answer once its head has arrived.
+    pub(crate) async fn send(
+        &self,
+        mut connection: Connection,
+        peer: &str,
+        address: SocketAddr,
+        request: EndpointRequest,
+    ) -> Result<IncomingAnswer, CallError> {
         let request = build_request(request, address)?;
         connection.head_budget.limit(MAX_HEAD_BYTES);
         let sent = connection.sender.try_send_request(request).await;
@@ -241,6 +258,18 @@
         address: SocketAddr,
         request: EndpointRequest,
         timeout: Duration,
+    ) -> Result<CompleteAnswer, CallError> {
+        let opened = self.open(peer, address, request, false);
+        self.complete(peer, address, opened, timeout).await
+    }
+
+    /// Reads the complete answer to a request that is being sent to a peer, within `timeout`.
+    pub(crate) async fn complete(
+        &self,
+        peer: &str,
+        address: SocketAddr,
+        opened: impl Future<Output = Result<IncomingAnswer, CallError>>,
+        timeout: Duration,
     ) -> Result<CompleteAnswer, CallError> {
         let mut progress = CallProgress {
             pool: &self.pool,
@@ -249,10 +278,7 @@
             began_at: clock::now(),
             has_ended: false,
         };
-        let call = async {
-            let answer = self.open(peer, address, request, false).await?;
-            answer.read_complete().await
-        };
+        let call = async { opened.await?.read_complete().await };
         match tokio::time::timeout(timeout, call).await {
             Ok(result) => {
                 progress.has_ended = true;
--- a/wisteriaford_gateway/src/connection_pool.rs
+++ b/wisteriaford_gateway/src/connection_pool.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -15,6 +16,8 @@
 use indexmap::IndexMap;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use wisteriaford_core::time::Timestamp;
@@ -46,6 +49,8 @@
     pub(crate) reused: bool,
     /// Bytes that may still be read of the head of an answer.
     pub(crate) head_budget: ReadBudget,
+    /// Host of the instance that carries the connection; `None` for a direct one.
+    pub(crate) carrier: Option<CompactString>,
     driver: JoinHandle<()>,
 }
 
@@ -56,13 +61,17 @@
 }
 
 impl Connection {
-    /// Opens a connection.
-    async fn open(address: SocketAddr) -> Result<Self, CallError> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_| CallError::unreachable("no connection in time"))?
-            .map_err(CallError::unreachable)?;
-        configure(&stream).map_err(CallError::unreachable)?;
+    /// Opens a direct connection.
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self, CallError> {
+        let stream = connect(address).await?;
+        Self::over(stream, None).await
+    }
+
+    /// Begins to speak HTTP over a stream of bytes, which `carrier` carries.
+    pub(crate) async fn over(
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        carrier: Option<CompactString>,
+    ) -> Result<Self, CallError> {
         let head_budget = ReadBudget::default();
         let stream = BudgetedStream::new(stream, head_budget.clone());
         let handshake = http1::Builder::new()
@@ -75,11 +84,22 @@
             sender,
             reused: false,
             head_budget,
+            carrier,
             driver,
         })
     }
 }
 
+/// Connects to an address.
+pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, CallError> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| CallError::unreachable("no connection in time"))?
+        .map_err(CallError::unreachable)?;
+    configure(&stream).map_err(CallError::unreachable)?;
+    Ok(stream)
+}
+
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
@@ -122,14 +142,22 @@
         address: SocketAddr,
         fresh: bool,
     ) -> Result<Connection, CallError> {
-        while !fresh && let Some(mut connection) = self.take(peer, address) {
+        if !fresh && let Some(connection) = self.take_ready(peer, address).await {
+            return Ok(connection);
+        }
+        Connection::open(address).await
+    }
+
+    /// Returns an idle connection to a peer, if there is one.
+    pub(crate) async fn take_ready(&self, peer: &str, address: SocketAddr) -> Option<Connection> {
+        while let Some(mut connection) = self.take(peer, address) {
             // Detects a closed connection without waiting.
             if connection.sender.ready().await.is_ok() {
                 connection.reused = true;
-                return Ok(connection);
+                return Some(connection);
             }
         }
-        Connection::open(address).await
+        None
     }
 
     /// Returns a connection to the pool; its last answer must have been read completely.
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -44,6 +44,7 @@
 use crate::forward::choice::exhausted;
 use crate::forward::choice::hedge_endpoint;
 use crate::forward::choice::next_endpoint;
+use crate::reach;
 use crate::refusal::Answer;
 use crate::refusal::Reason;
 use crate::refusal::full_body;
@@ -441,7 +442,11 @@
 }
 
 /// Sends a request to an endpoint and reads the answer, or the head of a stream.
-pub(crate) async fn exchange(gateway: &Gateway, exchange: Exchange<'_>, mut run: Run) -> Attempt {
+pub(crate) async fn exchange(
+    gateway: &Arc<Gateway>,
+    exchange: Exchange<'_>,
+    mut run: Run,
+) -> Attempt {
     let Exchange {
         endpoint,
         kind,
@@ -449,9 +454,8 @@
         id,
         fresh,
     } = exchange;
-    let peer = endpoint.id.as_str();
     let sent_at = gateway.record_send(endpoint, kind);
-    let opened = gateway.client.open(peer, endpoint.address, request, fresh);
+    let opened = reach::open(gateway, endpoint, request, fresh);
     let answer = match opened.await {
         Ok(answer) => answer,
         Err(error @ CallError::Unreachable { .. }) => {
--- a/wisteriaford_gateway/src/metrics.rs
+++ b/wisteriaford_gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) orders: Counter<u64>,
     pub(crate) moved_items: Counter<u64>,
     pub(crate) relayed_calls: Counter<u64>,
+    pub(crate) failed_connections: Counter<u64>,
+    pub(crate) carried_connections: Counter<u64>,
     pub(crate) endpoint_crashes: Counter<u64>,
     pub(crate) crash_reports: Counter<u64>,
     limited_sends: Counter<u64>,
@@ -72,6 +74,14 @@
             orders: counter("wisteriaford_orders", "Orders to engines."),
             moved_items: counter("wisteriaford_moved_items", "Items taken from slow engines."),
             relayed_calls: counter("wisteriaford_relayed_calls", "Calls of the log for peers."),
+            failed_connections: counter(
+                "wisteriaford_failed_connections",
+                "Direct connections to endpoints that failed.",
+            ),
+            carried_connections: counter(
+                "wisteriaford_carried_connections",
+                "Connections to endpoints carried for other instances.",
+            ),
             endpoint_crashes: counter(
                 "wisteriaford_endpoint_crashes",
                 "Endpoints that ended without notice.",
--- a/wisteriaford_gateway/src/orders.rs
+++ b/wisteriaford_gateway/src/orders.rs
@@ -19,6 +19,7 @@
 use crate::client::CompleteAnswer;
 use crate::clock;
 use crate::permits;
+use crate::reach;
 use crate::sends::SendKind;
 use crate::state::Gateway;
 use crate::state::stopped;
@@ -117,22 +118,19 @@
 
 /// Calls an engine and records what it announces in its answer.
 async fn call_engine(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     engine: &Endpoint,
     request: EndpointRequest,
 ) -> Result<CompleteAnswer, CallError> {
     let sent_at = gateway.record_send(engine, SendKind::EngineControl);
-    let answer = gateway
-        .client
-        .call(engine.id.as_str(), engine.address, request, CALL_TIMEOUT)
-        .await?;
+    let answer = reach::call(gateway, engine, request, CALL_TIMEOUT).await?;
     let protocol = &gateway.endpoints;
     let metadata = protocol.decode_answer(answer.status, &answer.headers);
     gateway.record_answer(engine, sent_at, &metadata);
     Ok(answer)
 }
 
-async fn inspect(gateway: &Gateway, endpoint: &EndpointId) -> Option<EngineReport> {
+async fn inspect(gateway: &Arc<Gateway>, endpoint: &EndpointId) -> Option<EngineReport> {
     let engine = find_endpoint(gateway, endpoint)?;
     if !permits::take_control(gateway, &engine) {
         log::debug!(endpoint:% = endpoint; "engine not inspected, it limits its requests");
@@ -174,7 +172,7 @@
 }
 
 async fn send_order(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     endpoint: &EndpointId,
     model: &ModelId,
     version: Version,
--- a/wisteriaford_gateway/src/peers.rs
+++ b/wisteriaford_gateway/src/peers.rs
@@ -1,4 +1,4 @@
-//! Discovery of the other instances and the server for their relayed calls and crash reports.
+//! Discovery of the other instances and the server for their calls.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,6 +22,8 @@
 use crate::adapter::Log;
 use crate::adapter::LogRecord;
 use crate::adapter::Topic;
+use crate::carrier;
+use crate::carrier::CARRY_PATH;
 use crate::clock;
 use crate::crash_reports;
 use crate::crash_reports::REPORTS_PATH;
@@ -163,8 +165,11 @@
     .await;
 }
 
-async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Answer {
+async fn answer(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Answer {
     let path = request.uri().path().to_owned();
+    if path == CARRY_PATH {
+        return carrier::answer(gateway, request).await;
+    }
     let max_bytes = gateway.log.limits().max_append_bytes + CALL_OVERHEAD_BYTES;
     let body = Limited::new(request.into_body(), max_bytes).collect().await;
     let body = match body {
--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -19,6 +19,7 @@
 
 use crate::clock;
 use crate::crash_reports;
+use crate::reach;
 use crate::sends::SendKind;
 use crate::state::Gateway;
 
@@ -206,7 +207,7 @@
 /// Returns whether a request may begin to run at an endpoint: one under suspicion runs only where a
 /// probe is answered, so that it is not blamed for an endpoint that is down already.
 pub(crate) async fn may_begin(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     endpoint: &Endpoint,
     fingerprint: Fingerprint,
 ) -> bool {
@@ -217,9 +218,8 @@
         return true;
     }
     let request = gateway.endpoints.inspection_request(&endpoint.id);
-    let (peer, address) = (endpoint.id.as_str(), endpoint.address);
     let sent_at = gateway.record_send(endpoint, SendKind::Probe);
-    let answer = gateway.client.call(peer, address, request, PROBE_TIMEOUT);
+    let answer = reach::call(gateway, endpoint, request, PROBE_TIMEOUT);
     match answer.await {
         Ok(answer) => {
             let protocol = &gateway.endpoints;
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -40,6 +40,7 @@
 use crate::forward::InFlightGuard;
 use crate::permits;
 use crate::progress;
+use crate::reach;
 use crate::run::Run;
 use crate::run::RunPermit;
 use crate::score;
@@ -423,7 +424,11 @@
     (outcome, compact_str::format_compact!("{cause}"))
 }
 
-async fn stream_item(gateway: &Gateway, start: &RunStart, run: &mut Run) -> Result<(), RunFailure> {
+async fn stream_item(
+    gateway: &Arc<Gateway>,
+    start: &RunStart,
+    run: &mut Run,
+) -> Result<(), RunFailure> {
     let request = gateway.endpoints.item_request(start);
     let endpoint = &start.endpoint;
     let kind = match start.after_event {
@@ -431,9 +436,7 @@
         None => SendKind::Item,
     };
     let sent_at = gateway.record_send(endpoint, kind);
-    let opened = gateway
-        .client
-        .open(endpoint.id.as_str(), endpoint.address, request, false);
+    let opened = reach::open(gateway, endpoint, request, false);
     let timeout = extend_timeout(LOADING_SILENCE_TIMEOUT, start);
     let opened = tokio::time::timeout(timeout, opened).await;
     let answer = match opened {
--- a/wisteriaford_gateway/src/server.rs
+++ b/wisteriaford_gateway/src/server.rs
@@ -279,7 +279,9 @@
             let answer = answer(request);
             async move { Ok::<_, std::convert::Infallible>(answer.await) }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service)
+            .with_upgrades();
         // An error affects only this connection.
         tokio::spawn(async move { drop(connection.await) });
     })
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -17,11 +17,13 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use wisteriaford_core::gateway::announced_limits::AnnouncedLimits;
+use wisteriaford_core::gateway::carriers::Carriers;
 use wisteriaford_core::gateway::departures::Departures;
 use wisteriaford_core::gateway::endpoint::Endpoint;
 use wisteriaford_core::gateway::endpoint::EndpointTable;
 use wisteriaford_core::gateway::job_fold::JobFold;
 use wisteriaford_core::gateway::leadership::Leadership;
+use wisteriaford_core::gateway::links::Links;
 use wisteriaford_core::gateway::load_balancer::LoadBalancer;
 use wisteriaford_core::gateway::permits::IssuingTerm;
 use wisteriaford_core::gateway::permits::PermitIssuer;
@@ -173,6 +175,13 @@
     load_balancer: Mutex<LoadBalancer>,
     /// Statistics of scorer calls, which take longer than the other calls of their pools.
     scorer_balancer: Mutex<LoadBalancer>,
+    /// Links of this instance to the endpoints.
+    links: Mutex<Links>,
+    carriers: Mutex<Carriers>,
+    /// Number of connections to endpoints that this instance carries for others.
+    pub(crate) carried_connections: AtomicUsize,
+    /// Whether other instances are being asked about a failed connection.
+    pub(crate) is_diagnosing: AtomicBool,
     departures: Mutex<Departures>,
     announced_limits: Mutex<AnnouncedLimits>,
     permits: Mutex<PermitIssuer>,
@@ -235,6 +244,10 @@
             open_connections: AtomicUsize::new(0),
             load_balancer: Mutex::new(LoadBalancer::new(availability_zone.clone())),
             scorer_balancer: Mutex::new(LoadBalancer::new(availability_zone)),
+            links: Mutex::default(),
+            carriers: Mutex::default(),
+            carried_connections: AtomicUsize::new(0),
+            is_diagnosing: AtomicBool::new(false),
             departures: Mutex::default(),
             announced_limits: Mutex::default(),
             permits: Mutex::default(),
@@ -266,6 +279,16 @@
         lock(&self.scorer_balancer)
     }
 
+    /// Returns the links of this instance to the endpoints.
+    pub(crate) fn links(&self) -> MutexGuard<'_, Links> {
+        lock(&self.links)
+    }
+
+    /// Returns the instances over which endpoints are connected to.
+    pub(crate) fn carriers(&self) -> MutexGuard<'_, Carriers> {
+        lock(&self.carriers)
+    }
+
     /// Discards the statistics of an endpoint that was removed or restarted.
     pub(crate) fn forget_endpoint(&self, endpoint: &EndpointId) {
         self.load_balancer().forget(endpoint);
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -36,6 +36,7 @@
 use crate::forward::remove_hop_by_hop_headers;
 use crate::permits;
 use crate::permits::Selection;
+use crate::reach;
 use crate::refusal::Answer;
 use crate::refusal::Reason;
 use crate::run;
@@ -322,8 +323,7 @@
             build_request(&call.gateway, &forwarded, &endpoint, call.last_event)
         };
         let sent_at = call.gateway.record_send(&endpoint, SendKind::Resumption);
-        let client = &call.gateway.client;
-        let opened = client.open(endpoint.id.as_str(), endpoint.address, request, true);
+        let opened = reach::open(&call.gateway, &endpoint, request, true);
         let remaining = call.deadline.since(clock::now()).min(SILENCE_TIMEOUT);
         let mut run = Run::begin(&endpoint, call.fingerprint, permit);
         let answer = match tokio::time::timeout(remaining, opened).await {
