--- a/wisteriaford_standins/src/platform_store.rs
+++ b/wisteriaford_standins/src/platform_store.rs
@@ -1,5 +1,7 @@
 //! Stand-in for the log store of the users' platform, a log with keyed topics.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -20,6 +22,8 @@
 use crate::server::Reply;
 use crate::server::Service;
 
+/// Topic of the entries of endpoints.
+const ENDPOINTS_TOPIC: &str = "keyed.servers";
 /// Maximum number of records on one page of newest records.
 const MAX_PAGE_RECORDS: usize = 500;
 /// Interval at which a waiting read checks for new records.
@@ -84,18 +88,52 @@
     rest.split_at_checked(usize::from(*length))
 }
 
-/// Log with keyed topics.
+/// Addresses that a reader of the store sees in place of others, in the entries of endpoints.
+///
+/// Its links to the endpoints can be cut then without those of other readers.
+#[derive(Clone, Debug, Default)]
+pub struct AddressView(Arc<Mutex<IndexMap<String, String>>>);
+
+impl AddressView {
+    /// Lets the reader see `seen` where an entry says `published`.
+    pub fn replace(&self, published: SocketAddr, seen: SocketAddr) {
+        self.lock().insert(published.to_string(), seen.to_string());
+    }
+
+    /// Returns a record as the reader sees it.
+    fn apply(&self, topic: &str, record: &[u8]) -> Vec<u8> {
+        let addresses = self.lock();
+        if topic != ENDPOINTS_TOPIC || addresses.is_empty() {
+            return record.to_vec();
+        }
+        let Ok(mut text) = String::from_utf8(record.to_vec()) else {
+            return record.to_vec();
+        };
+        for (published, seen) in addresses.iter() {
+            text = text.replace(&format!("\"{published}\""), &format!("\"{seen}\""));
+        }
+        text.into_bytes()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<String, String>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Log with keyed topics, as one of its readers sees it.
 #[derive(Debug)]
 pub(crate) struct PlatformStore {
     settings: PlatformStoreSettings,
-    topics: Mutex<IndexMap<String, Topic>>,
+    topics: Arc<Mutex<IndexMap<String, Topic>>>,
+    view: AddressView,
 }
 
 impl PlatformStore {
     pub(crate) fn new(settings: PlatformStoreSettings) -> Self {
         Self {
             settings,
-            topics: Mutex::default(),
+            topics: Arc::default(),
+            view: AddressView::default(),
         }
     }
 
@@ -152,12 +190,13 @@
         body.extend_from_slice(&(first_offset as u64).to_be_bytes());
         let mut count = 0;
         for record in topic.records.iter().skip(from) {
+            let record = self.view.apply(name, record);
             if count > 0 && body.len() + record.len() > max_bytes {
                 break;
             }
             let length = u32::try_from(record.len()).unwrap_or(u32::MAX);
             body.extend_from_slice(&length.to_be_bytes());
-            body.extend_from_slice(record);
+            body.extend_from_slice(&record);
             count += 1;
         }
         Page::Records(body, count)
@@ -175,7 +214,7 @@
         let name: String = request.parameter("topic", String::new())?;
         let after: String = request.parameter("after", String::new())?;
         let mut topics = self.topics();
-        let topic = topics.entry(name).or_default();
+        let topic = topics.entry(name.clone()).or_default();
         let newest_by_key = topic.newest_by_key();
         let later = newest_by_key
             .iter()
@@ -187,7 +226,7 @@
             .map(|(key, value, offset)| {
                 json!({
                     "key": String::from_utf8_lossy(key),
-                    "value": STANDARD.encode(value),
+                    "value": STANDARD.encode(self.view.apply(&name, value)),
                     "offset": offset,
                 })
             });
@@ -207,6 +246,14 @@
 }
 
 impl Service for PlatformStore {
+    fn with_view(&self, view: AddressView) -> Option<Arc<dyn Service>> {
+        Some(Arc::new(Self {
+            settings: self.settings,
+            topics: Arc::clone(&self.topics),
+            view,
+        }))
+    }
+
     fn handle(&self, request: &Request, connection: &mut Connection) -> Result<Reply> {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/api/log-append") => self.append(request),
--- a/wisteriaford_standins/src/proxy.rs
+++ b/wisteriaford_standins/src/proxy.rs
@@ -10,6 +10,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -17,7 +18,14 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use socket2::Domain;
+use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
+
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time limit for the connection that wakes the acceptor, which may get no answer.
+const WAKE_TIMEOUT: Duration = Duration::from_millis(50);
 const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Direction in which bytes are forwarded.
@@ -68,6 +76,8 @@
 struct ProxiedState {
     silenced: Silenced,
     open: bool,
+    /// Whether the connection ends with a reset.
+    resets: bool,
 }
 
 impl ProxiedConnection {
@@ -76,23 +86,57 @@
     }
 
     fn close(&self) {
-        self.state().open = false;
+        let is_reset = {
+            let mut state = self.state();
+            state.open = false;
+            state.resets
+        };
+        if is_reset {
+            return;
+        }
         let _ = self.client.shutdown(Shutdown::Both);
         let _ = self.target.shutdown(Shutdown::Both);
     }
+
+    /// Lets both connections end with a reset once no thread uses them any more.
+    fn reset(&self) {
+        for stream in [&self.client, &self.target] {
+            let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        }
+        let mut state = self.state();
+        state.open = false;
+        state.resets = true;
+    }
+}
+
+/// What happens to new connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum NewConnections {
+    /// They are accepted.
+    #[default]
+    Accepted,
+    /// They are refused.
+    Refused,
+    /// They get no answer.
+    Unanswered,
 }
 
 #[derive(Debug, Default)]
 struct ProxyState {
     silenced_for_new: Silenced,
+    new_connections: NewConnections,
+    new_connections_in_force: NewConnections,
     connections: Vec<Arc<ProxiedConnection>>,
     stopping: bool,
 }
 
 #[derive(Debug)]
 struct Shared {
+    address: SocketAddr,
     target: SocketAddr,
     state: Mutex<ProxyState>,
+    /// Notified when what happens to new connections changes.
+    changed: Condvar,
 }
 
 impl Shared {
@@ -104,7 +148,6 @@
 /// TCP proxy in front of one address, which stops when dropped.
 #[derive(Debug)]
 pub struct SilentProxy {
-    address: SocketAddr,
     shared: Arc<Shared>,
     acceptor: Option<JoinHandle<()>>,
 }
@@ -119,15 +162,16 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
+            address,
             target,
             state: Mutex::default(),
+            changed: Condvar::new(),
         });
         let acceptor_shared = Arc::clone(&shared);
         let acceptor = thread::Builder::new()
             .name("proxy".to_owned())
-            .spawn(move || accept_connections(&listener, &acceptor_shared))?;
+            .spawn(move || run_acceptor(listener, &acceptor_shared))?;
         Ok(Self {
-            address,
             shared,
             acceptor: Some(acceptor),
         })
@@ -135,8 +179,8 @@
 
     /// Returns the address on which the proxy listens.
     #[must_use]
-    pub const fn address(&self) -> SocketAddr {
-        self.address
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
     }
 
     /// Stops forwarding on open and new connections, which stay open.
@@ -166,6 +210,30 @@
         update_silenced(&state.connections, |flags| *flags = Silenced::default());
     }
 
+    /// Sets what happens to new connections, and returns once it does; open ones live on.
+    pub fn set_new_connections(&self, new_connections: NewConnections) {
+        {
+            let mut state = self.shared.lock();
+            state.new_connections = new_connections;
+        }
+        self.shared.changed.notify_all();
+        // Wakes the acceptor.
+        drop(TcpStream::connect_timeout(
+            &self.shared.address,
+            WAKE_TIMEOUT,
+        ));
+        while self.shared.lock().new_connections_in_force != new_connections {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Resets the open connections; new ones are not affected.
+    pub fn reset_connections(&self) {
+        for connection in self.shared.lock().connections.drain(..) {
+            connection.reset();
+        }
+    }
+
     /// Closes the open connections; new ones work.
     pub fn close_connections(&self) {
         for connection in self.shared.lock().connections.drain(..) {
@@ -188,8 +256,12 @@
 impl Drop for SilentProxy {
     fn drop(&mut self) {
         self.shared.lock().stopping = true;
+        self.shared.changed.notify_all();
         self.close_connections();
-        let _ = TcpStream::connect(self.address);
+        drop(TcpStream::connect_timeout(
+            &self.shared.address,
+            WAKE_TIMEOUT,
+        ));
         if let Some(acceptor) = self.acceptor.take() {
             let _ = acceptor.join();
         }
@@ -203,10 +275,59 @@
     }
 }
 
+/// Accepts, refuses or ignores connections until the proxy stops.
+fn run_acceptor(listener: TcpListener, shared: &Shared) {
+    let mut listener = Some(listener);
+    while !shared.lock().stopping {
+        let mode = shared.lock().new_connections;
+        if mode == NewConnections::Accepted {
+            let Some(accepting) = listener.take().or_else(|| bind(shared)) else {
+                thread::sleep(POLL_INTERVAL);
+                continue;
+            };
+            shared.lock().new_connections_in_force = mode;
+            accept_connections(&accepting, shared);
+            continue;
+        }
+        // A full queue leaves further connections unanswered.
+        let full_queue = (mode == NewConnections::Unanswered).then(|| fill_queue(shared.address));
+        let mut state = shared.lock();
+        state.new_connections_in_force = mode;
+        while state.new_connections == mode && !state.stopping {
+            let waited = shared.changed.wait(state);
+            state = waited.unwrap_or_else(PoisonError::into_inner);
+        }
+        drop(state);
+        drop(full_queue);
+    }
+}
+
+fn bind(shared: &Shared) -> Option<TcpListener> {
+    TcpListener::bind(shared.address).ok()
+}
+
+/// Listens at an address with a queue of connections that is full.
+fn fill_queue(address: SocketAddr) -> io::Result<(Socket, Vec<TcpStream>)> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(0)?;
+    let mut queued = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, WAKE_TIMEOUT) {
+        queued.push(stream);
+    }
+    Ok((socket, queued))
+}
+
+/// Accepts connections until they are no longer to be accepted.
 fn accept_connections(listener: &TcpListener, shared: &Shared) {
     loop {
         let accepted = listener.accept();
-        if shared.lock().stopping {
+        let is_accepting = {
+            let state = shared.lock();
+            !state.stopping && state.new_connections == NewConnections::Accepted
+        };
+        if !is_accepting {
             return;
         }
         match accepted {
@@ -231,6 +352,7 @@
         state: Mutex::new(ProxiedState {
             silenced: state.silenced_for_new,
             open: true,
+            resets: false,
         }),
     });
     state
--- a/wisteriaford_standins/src/server.rs
+++ b/wisteriaford_standins/src/server.rs
@@ -28,6 +28,7 @@
 use crate::faults::ConnectionState;
 use crate::faults::FaultChange;
 use crate::faults::Faults;
+use crate::platform_store::AddressView;
 use crate::request::Request;
 
 const FAULTS_PATH: &str = "/faults";
@@ -63,6 +64,11 @@
         true
     }
 
+    /// Returns the service as a reader with a view of its own sees it, if it has such views.
+    fn with_view(&self, _view: AddressView) -> Option<Arc<dyn Service>> {
+        None
+    }
+
     /// Resets the service's state when it restarts after a crash.
     fn restart(&self) {}
 }
@@ -117,6 +123,10 @@
         })
     }
 
+    pub(crate) fn service(&self) -> &dyn Service {
+        &*self.shared.service
+    }
+
     pub(crate) const fn address(&self) -> SocketAddr {
         self.address
     }
--- a/wisteriaford_standins/src/standin.rs
+++ b/wisteriaford_standins/src/standin.rs
@@ -25,6 +25,7 @@
 use crate::plain_service::PlainServiceSettings;
 use crate::platform_endpoint::PlatformEndpoint;
 use crate::platform_endpoint::PlatformEndpointSettings;
+use crate::platform_store::AddressView;
 use crate::platform_store::PlatformStore;
 use crate::platform_store::PlatformStoreSettings;
 use crate::scorer::Scorer;
@@ -123,6 +124,21 @@
         self.server.address()
     }
 
+    /// Serves a store at another address as well, to a reader with a view of its own; the faults are
+    /// shared.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't listen, or if the stand-in has no such views.
+    pub fn start_view(&self, view: AddressView) -> io::Result<Self> {
+        let service = self.server.service().with_view(view);
+        let service = service.ok_or(io::ErrorKind::Unsupported)?;
+        let faults = Arc::clone(&self.faults);
+        let listen = any_loopback_port();
+        let server = Server::start(listen, service, Arc::clone(&faults), CrashAction::GoDown)?;
+        Ok(Self { server, faults })
+    }
+
     /// Changes the given faults, as `POST /faults` does.
     pub fn change_faults(&self, change: FaultChange) {
         self.server.change_faults(change);
