--- a/wisteriaford_core/src/gateway/links.rs
+++ b/wisteriaford_core/src/gateway/links.rs
@@ -35,13 +35,11 @@
 pub enum LinkChange {
     /// The instance is cut off from endpoints that others reach.
     Cut {
-        /// Time since the first connection that failed.
-        failing_for: Duration,
+        /// First connection that failed.
+        failing_since: Timestamp,
     },
     /// The instance connected to an endpoint again.
     Restored {
-        /// Time since the first connection that failed.
-        cut_for: Duration,
         /// First connection that failed.
         failing_since: Timestamp,
     },
@@ -110,16 +108,12 @@
         self.cut_since.is_some()
     }
 
-    /// Returns for how long the instance has known that it is cut off.
-    #[must_use]
-    pub fn known_cut_time(&self, now: Timestamp) -> Option<Duration> {
-        self.cut_since.map(|_| now.since(self.cut_known_at))
-    }
-
-    /// Returns the time of the last direct connection to any endpoint.
+    /// Returns the time from which the instance has known that it is cut off, if it is.
+    ///
+    /// The failure of a request sent before says nothing about its endpoint.
     #[must_use]
-    pub fn connected_at(&self) -> Timestamp {
-        self.connected_at
+    pub fn cut_known_at(&self) -> Option<Timestamp> {
+        self.cut_since.map(|_| self.cut_known_at)
     }
 
     /// Returns an endpoint that the instance failed to connect to, another one for each `turn`.
@@ -141,10 +135,7 @@
             return None;
         };
         self.failed.clear();
-        Some(LinkChange::Restored {
-            cut_for: now.since(failing_since),
-            failing_since,
-        })
+        Some(LinkChange::Restored { failing_since })
     }
 
     /// Records that a direct connection to an endpoint failed, or has not come about.
@@ -191,9 +182,7 @@
         let failing_since = out_of_reach.map(|failed| failed.first_failure).min()?;
         self.cut_since = Some(failing_since);
         self.cut_known_at = now;
-        Some(LinkChange::Cut {
-            failing_for: now.since(failing_since),
-        })
+        Some(LinkChange::Cut { failing_since })
     }
 
     /// Records that no other instance connected to an endpoint that this one failed to connect to.
--- a/wisteriaford_core/src/gateway/load_balancer.rs
+++ b/wisteriaford_core/src/gateway/load_balancer.rs
@@ -67,6 +67,8 @@
     in_flight: u32,
     /// Consecutive failures.
     failures: u32,
+    /// Time of the last failure.
+    failed_at: Timestamp,
     /// End of the current or last ejection.
     ejected_until: Timestamp,
     /// End of the backoff after a refusal as full.
@@ -84,6 +86,7 @@
         Self {
             in_flight: 0,
             failures: 0,
+            failed_at: Timestamp::default(),
             ejected_until: Timestamp::default(),
             full_until: Timestamp::default(),
             pool: None,
@@ -268,6 +271,7 @@
     pub fn record_failure(&mut self, now: Timestamp, endpoint: &EndpointId) {
         let stats = self.stats_mut(endpoint);
         stats.failures = stats.failures.saturating_add(1);
+        stats.failed_at = now;
         if stats.failures >= FAILURES_TO_EJECT {
             let doublings = (stats.failures - FAILURES_TO_EJECT).min(8);
             let duration = FIRST_EJECTION.saturating_mul(1 << doublings);
@@ -284,6 +288,16 @@
         self.record_failure(now, endpoint);
     }
 
+    /// Ends the ejections since a time, which failures of this instance's own links have caused.
+    pub fn readmit_ejected_since(&mut self, since: Timestamp) {
+        for stats in self.stats.values_mut() {
+            if stats.failed_at >= since {
+                stats.failures = 0;
+                stats.ejected_until = Timestamp::default();
+            }
+        }
+    }
+
     /// Records that an endpoint crashed, which ejects it for as long as it may take to return.
     pub fn record_crash(&mut self, now: Timestamp, endpoint: &EndpointId) {
         self.stats_mut(endpoint).ejected_until = now + MAX_EJECTION;
--- a/wisteriaford_core/tests/gateway_load_balancer.rs
+++ b/wisteriaford_core/tests/gateway_load_balancer.rs
@@ -296,3 +296,19 @@
     // No endpoint has a free slot left.
     assert!(shortlist.select(&mut shortlisted, None).is_none());
 }
+
+/// Guards against ejections that outlast a cut of the instance's own links.
+#[test]
+fn endpoints_ejected_by_a_cut_are_readmitted() {
+    let table = endpoints(&["e", "f"], 4);
+    let mut load_balancer = load_balancer();
+    load_balancer.record_unreachable(at(100), &"f".into());
+    load_balancer.record_unreachable(at(1_000), &"e".into());
+    load_balancer.record_unreachable(at(1_100), &"e".into());
+
+    load_balancer.readmit_ejected_since(at(500));
+
+    assert!(load_balancer.is_available(at(1_110), &"e".into()));
+    assert!(!load_balancer.is_available(at(300), &"f".into()));
+    assert_eq!(table.len(), 2);
+}
--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -38,6 +38,7 @@
 use crate::peers::PeerFollower;
 use crate::permits;
 use crate::progress;
+use crate::reach;
 use crate::runner;
 use crate::server;
 use crate::settings::GatewaySettings;
@@ -197,6 +198,7 @@
     supervise(gateway, "limits", permits::report);
     supervise(gateway, "origins of streams", stream_origins::report);
     supervise(gateway, "connections", prune_connections);
+    supervise(gateway, "links", reach::watch_cut);
     tokio::spawn(watch_settings(Arc::clone(gateway), hangup, source));
 }
 
@@ -213,6 +215,9 @@
         tokio::time::sleep(PRUNE_INTERVAL).await;
         let view = gateway.view.load();
         let is_endpoint = |peer: &str| view.endpoints.get(&peer.into()).is_some();
+        gateway
+            .links()
+            .retain(|endpoint| view.endpoints.get(endpoint).is_some());
         let peers = gateway.log.peers();
         let is_peer = |peer: &str| peer.is_empty() || peers.contains_key(peer);
         gateway
--- a/wisteriaford_gateway/src/carrier.rs
+++ b/wisteriaford_gateway/src/carrier.rs
@@ -107,7 +107,11 @@
         return Err(unable("too many connections"));
     };
     let began_at = clock::now();
-    match connection_pool::connect(endpoint.address).await {
+    let connected = async {
+        reach::verify_links(gateway, &endpoint).await?;
+        connection_pool::connect(endpoint.address).await
+    };
+    match connected.await {
         Ok(stream) => {
             reach::record_connected(gateway, &endpoint);
             Ok((stream, guard))
--- a/wisteriaford_gateway/src/carry.rs
+++ b/wisteriaford_gateway/src/carry.rs
@@ -87,11 +87,14 @@
     };
     let mut unasked = hosts.iter();
     let mut asks = FuturesUnordered::new();
+    let mut unanswered: Vec<&CompactString> = Vec::new();
     let mut unreached = 0;
     let asking = async {
         loop {
             if let Some(host) = unasked.next() {
-                asks.push(ask(gateway, &own_host, host, peers[host], endpoint));
+                let opened = open(&own_host, host, peers[host], endpoint);
+                asks.push(async move { (host, opened.await) });
+                unanswered.push(host);
             } else if asks.is_empty() {
                 return Err(CarryError::NoCarrier { asked: hosts.len() });
             }
@@ -101,10 +104,22 @@
                 () = interval, if unasked.len() > 0 => continue,
             };
             match ended {
-                Some((_, Ok(connection))) => return Ok(connection),
-                Some((_, Err(Declined::Unreached))) => unreached += 1,
+                Some((host, Ok(connection))) => {
+                    let now = clock::now();
+                    let mut carriers = gateway.carriers();
+                    carriers.record_good(now, host);
+                    for slower in unanswered.iter().take_while(|other| **other != host) {
+                        carriers.record_failed(now, slower);
+                    }
+                    return Ok(connection);
+                }
+                Some((host, Err(Declined::Unreached))) => {
+                    unanswered.retain(|other| *other != host);
+                    unreached += 1;
+                }
                 Some((host, Err(Declined::Unable(cause)))) => {
                     log::debug!(host:% = host, endpoint:% = endpoint.id, cause:% = cause; "connection not carried");
+                    unanswered.retain(|other| *other != host);
                     gateway.carriers().record_failed(clock::now(), host);
                 }
                 None => {}
@@ -124,20 +139,6 @@
     }
 }
 
-async fn ask<'a>(
-    gateway: &Gateway,
-    own_host: &str,
-    host: &'a CompactString,
-    address: SocketAddr,
-    endpoint: &Endpoint,
-) -> (&'a CompactString, Result<Connection, Declined>) {
-    let result = open(own_host, host, address, endpoint).await;
-    if result.is_ok() {
-        gateway.carriers().record_good(clock::now(), host);
-    }
-    (host, result)
-}
-
 async fn open(
     own_host: &str,
     host: &CompactString,
--- a/wisteriaford_gateway/src/client.rs
+++ b/wisteriaford_gateway/src/client.rs
@@ -19,6 +19,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::sync::Semaphore;
+use wisteriaford_core::gateway::links::Way;
 use wisteriaford_core::time::Timestamp;
 
 use crate::adapter::EndpointRequest;
@@ -113,6 +114,33 @@
         pool.put(&peer, address, connection, keep_alive);
     }
 
+    /// Returns whether another instance carries the connection.
+    pub(crate) fn is_carried(&self) -> bool {
+        self.connection.carrier.is_some()
+    }
+
+    /// Reads the unused body, and returns the connection if it can be used for another request.
+    pub(crate) async fn into_unused_connection(mut self) -> Option<Connection> {
+        let read = async {
+            let mut size_bytes = 0;
+            while let Some(frame) = self.response.body_mut().frame().await {
+                size_bytes += frame.ok()?.into_data().map_or(0, |data| data.len());
+                if size_bytes > MAX_DISCARDED_BYTES {
+                    return None;
+                }
+            }
+            Some(())
+        };
+        let read = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+        read.ok()??;
+        if requests_close(self.response.headers()) {
+            return None;
+        }
+        let mut connection = self.connection;
+        connection.sender.ready().await.ok()?;
+        Some(connection)
+    }
+
     /// Reads the complete body and returns the connection to the pool.
     ///
     /// Fails if the body exceeds [`MAX_BODY_BYTES`].
@@ -208,9 +236,24 @@
         self.send(connection, peer, address, request).await
     }
 
-    /// Returns an idle connection to a peer, if there is one.
-    pub(crate) async fn take_idle(&self, peer: &str, address: SocketAddr) -> Option<Connection> {
-        self.pool.take_ready(peer, address).await
+    /// Returns an idle connection to a peer that goes the given way, if there is one.
+    pub(crate) async fn take_idle(
+        &self,
+        peer: &str,
+        address: SocketAddr,
+        way: Way,
+    ) -> Option<Connection> {
+        self.pool.take_ready(peer, address, way).await
+    }
+
+    /// Keeps a connection to a peer that has not been used.
+    pub(crate) fn keep_unused(&self, peer: &str, address: SocketAddr, connection: Connection) {
+        self.pool.put(peer, address, connection, None);
+    }
+
+    /// Closes the idle connections that other instances carry.
+    pub(crate) fn close_carried(&self) {
+        self.pool.close_carried();
     }
 
     /// Sends a request over a connection and returns the answer once its head has arrived.
--- a/wisteriaford_gateway/src/connection_pool.rs
+++ b/wisteriaford_gateway/src/connection_pool.rs
@@ -20,6 +20,7 @@
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use wisteriaford_core::gateway::links::Way;
 use wisteriaford_core::time::Timestamp;
 
 use crate::budgeted_stream::BudgetedStream;
@@ -116,20 +117,23 @@
     expires_at: Timestamp,
 }
 
+/// Peer, its address, and whether connections to it are carried by another instance.
+type PeerKey = (String, SocketAddr, bool);
+
 /// Borrowed key for looking up a peer without copying its name.
 #[derive(Hash)]
-struct PeerRef<'a>(&'a str, SocketAddr);
+struct PeerRef<'a>(&'a str, SocketAddr, bool);
 
-impl Equivalent<(String, SocketAddr)> for PeerRef<'_> {
-    fn equivalent(&self, key: &(String, SocketAddr)) -> bool {
-        self.0 == key.0 && self.1 == key.1
+impl Equivalent<PeerKey> for PeerRef<'_> {
+    fn equivalent(&self, key: &PeerKey) -> bool {
+        self.0 == key.0 && self.1 == key.1 && self.2 == key.2
     }
 }
 
 /// Idle connections by peer.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
-    idle: Mutex<IndexMap<(String, SocketAddr), Vec<IdleConnection>>>,
+    idle: Mutex<IndexMap<PeerKey, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
@@ -142,15 +146,20 @@
         address: SocketAddr,
         fresh: bool,
     ) -> Result<Connection, CallError> {
-        if !fresh && let Some(connection) = self.take_ready(peer, address).await {
+        if !fresh && let Some(connection) = self.take_ready(peer, address, Way::Direct).await {
             return Ok(connection);
         }
         Connection::open(address).await
     }
 
-    /// Returns an idle connection to a peer, if there is one.
-    pub(crate) async fn take_ready(&self, peer: &str, address: SocketAddr) -> Option<Connection> {
-        while let Some(mut connection) = self.take(peer, address) {
+    /// Returns an idle connection to a peer that goes the given way, if there is one.
+    pub(crate) async fn take_ready(
+        &self,
+        peer: &str,
+        address: SocketAddr,
+        way: Way,
+    ) -> Option<Connection> {
+        while let Some(mut connection) = self.take(peer, address, way) {
             // Detects a closed connection without waiting.
             if connection.sender.ready().await.is_ok() {
                 connection.reused = true;
@@ -175,7 +184,9 @@
             return;
         }
         let mut idle = self.lock();
-        let list = idle.entry((peer.to_owned(), address)).or_default();
+        let is_carried = connection.carrier.is_some();
+        let key = (peer.to_owned(), address, is_carried);
+        let list = idle.entry(key).or_default();
         if list.len() < MAX_IDLE_PER_PEER {
             let expires_at = clock::now() + idle_timeout;
             list.push(IdleConnection {
@@ -187,35 +198,44 @@
 
     /// Closes the idle connections to a peer.
     pub(crate) fn close_idle(&self, peer: &str, address: SocketAddr) {
-        self.lock().swap_remove(&PeerRef(peer, address));
+        let mut idle = self.lock();
+        for is_carried in [false, true] {
+            idle.swap_remove(&PeerRef(peer, address, is_carried));
+        }
+    }
+
+    /// Closes the idle connections that other instances carry.
+    pub(crate) fn close_carried(&self) {
+        self.lock().retain(|(.., is_carried), _| !*is_carried);
     }
 
     /// Returns the number of idle connections to a peer.
     pub(crate) fn idle_count(&self, peer: &str, address: SocketAddr) -> usize {
         let now = clock::now();
         let idle = self.lock();
-        let list = idle.get(&PeerRef(peer, address));
-        list.map_or(0, |list| list.iter().filter(|i| is_usable(i, now)).count())
+        let lists = [false, true].map(|is_carried| idle.get(&PeerRef(peer, address, is_carried)));
+        let connections = lists.into_iter().flatten().flatten();
+        connections.filter(|idle| is_usable(idle, now)).count()
     }
 
     /// Closes expired idle connections, and those to peers for which `is_known` returns `false`.
     pub(crate) fn prune(&self, is_known: impl Fn(&str) -> bool) {
         let now = clock::now();
-        self.lock().retain(|(peer, _), list| {
+        self.lock().retain(|(peer, ..), list| {
             list.retain(|idle| is_usable(idle, now));
             !list.is_empty() && is_known(peer)
         });
     }
 
-    fn take(&self, peer: &str, address: SocketAddr) -> Option<Connection> {
+    fn take(&self, peer: &str, address: SocketAddr, way: Way) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.lock();
-        let list = idle.get_mut(&PeerRef(peer, address))?;
+        let list = idle.get_mut(&PeerRef(peer, address, way == Way::Carried))?;
         list.retain(|idle| is_usable(idle, now));
         list.pop().map(|idle| idle.connection)
     }
 
-    fn lock(&self) -> MutexGuard<'_, IndexMap<(String, SocketAddr), Vec<IdleConnection>>> {
+    fn lock(&self) -> MutexGuard<'_, IndexMap<PeerKey, Vec<IdleConnection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -8,6 +8,8 @@
 
 use std::sync::Arc;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,6 +46,7 @@
 use crate::forward::choice::exhausted;
 use crate::forward::choice::hedge_endpoint;
 use crate::forward::choice::next_endpoint;
+use crate::permits;
 use crate::reach;
 use crate::refusal::Answer;
 use crate::refusal::Reason;
@@ -92,9 +95,12 @@
     pub(crate) parts: &'a Parts,
     pub(crate) body: Bytes,
     pub(crate) fingerprint: Fingerprint,
+    pub(crate) arrived_at: Timestamp,
     pub(crate) deadline: Timestamp,
     /// Version of the software that began the stream, if the caller continues one.
     pub(crate) software: Option<SoftwareVersion>,
+    /// Whether the call may have been sent to an endpoint.
+    pub(crate) sent: AtomicBool,
 }
 
 /// Outcome of an attempt.
@@ -161,12 +167,21 @@
         parts,
         fingerprint: fingerprint(head, parts, &body),
         body,
+        arrived_at: arrived,
         deadline: arrived + time,
         software,
+        sent: AtomicBool::new(false),
     };
     let mut state = CallState::new(route);
     let finished = tokio::time::timeout(time, run_attempts(gateway, &call, &mut state)).await;
-    let result = finished.unwrap_or(Err(Reason::Deadline));
+    let result = finished.unwrap_or_else(|_| {
+        let is_sent = call.sent.load(Ordering::Acquire);
+        Err(if is_sent {
+            Reason::Deadline
+        } else {
+            Reason::EndpointsUnreachable
+        })
+    });
     let elapsed = clock::now().since(arrived);
     gateway.metrics.record_call_time(elapsed);
     log_outcome(gateway, &call, &state, &result, elapsed);
@@ -262,7 +277,10 @@
                     gateway.metrics.hedges.add(1, &[]);
                     let permit = RunPermit::admitted(gateway, call.fingerprint, false);
                     attempts.push(attempt(gateway, call, endpoint, SendKind::Hedge, permit));
-                } else if let Some((endpoint, outcome)) = attempts.next().await
+                    continue;
+                }
+                reach::check_after_silence(gateway, call.arrived_at);
+                if let Some((endpoint, outcome)) = attempts.next().await
                     && let Some(answered) = final_answer(call, state, &endpoint, outcome)?
                 {
                     return Ok((endpoint, answered));
@@ -402,16 +420,20 @@
         return (endpoint, Attempt::Unreachable(error));
     }
     let sent = clock::now();
+    let is_silent_hedge = kind == SendKind::Hedge && !gateway.is_heard_since(call.arrived_at);
     let run = Run::begin(&endpoint, call.fingerprint, permit);
     let request = Exchange {
         endpoint: &endpoint,
         kind,
-        request: build_request(gateway, call, &endpoint, None),
+        build: Box::new(|| build_request(gateway, call, &endpoint, None)),
         id: &call.head.request,
-        fresh: !call.route.is_idempotent(),
+        // A hedge doesn't go the way that may be dead.
+        fresh: !call.route.is_idempotent() || is_silent_hedge,
+        sent: &call.sent,
     };
     let outcome = exchange(gateway, request, run).await;
     let now = clock::now();
+    let is_excused = gateway.is_excused(sent);
     let mut load_balancer = gateway.load_balancer();
     match &outcome {
         Attempt::Answered(answered) if answered.status().is_server_error() => {
@@ -422,6 +444,7 @@
             load_balancer.record_pace(now, call.pool, &endpoint.id, now.since(sent));
         }
         Attempt::NotRun(_) => load_balancer.record_full(now, &endpoint.id),
+        Attempt::Unreachable(_) | Attempt::Lost(_) if is_excused => {}
         Attempt::Unreachable(_) | Attempt::Lost(_) => {
             load_balancer.record_unreachable(now, &endpoint.id);
         }
@@ -434,11 +457,14 @@
 pub(crate) struct Exchange<'a> {
     pub(crate) endpoint: &'a Endpoint,
     pub(crate) kind: SendKind,
-    pub(crate) request: EndpointRequest,
+    /// Builds the request once there is a connection: it says how much time is left.
+    pub(crate) build: Box<dyn FnOnce() -> EndpointRequest + Send + 'a>,
     /// Id that the answer must name.
     pub(crate) id: &'a RequestId,
     /// Whether the request must be sent on a new connection.
     pub(crate) fresh: bool,
+    /// Set once the request may have been sent.
+    pub(crate) sent: &'a AtomicBool,
 }
 
 /// Sends a request to an endpoint and reads the answer, or the head of a stream.
@@ -450,13 +476,32 @@
     let Exchange {
         endpoint,
         kind,
-        request,
+        build,
         id,
         fresh,
+        sent,
     } = exchange;
+    let began_at = clock::now();
+    let connection = match reach::connect(gateway, endpoint, fresh).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            run.dismiss();
+            return Attempt::Unreachable(error);
+        }
+    };
+    if permits::is_outdated(gateway, endpoint, began_at) {
+        run.dismiss();
+        return Attempt::Unreachable(CallError::unreachable("the permit is outdated"));
+    }
+    if let Some(carrier) = &connection.carrier {
+        log::info!(
+            request:% = id, endpoint:% = endpoint.id, carrier:% = carrier, kind:% = kind;
+            "request sent over another instance"
+        );
+    }
+    sent.store(true, Ordering::Release);
     let sent_at = gateway.record_send(endpoint, kind);
-    let opened = reach::open(gateway, endpoint, request, fresh);
-    let answer = match opened.await {
+    let answer = match reach::send(gateway, endpoint, connection, build()).await {
         Ok(answer) => answer,
         Err(error @ CallError::Unreachable { .. }) => {
             run.dismiss();
--- a/wisteriaford_gateway/src/lib.rs
+++ b/wisteriaford_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod connection_pool;
 mod contents;
 mod crash_reports;
+mod departure_reports;
 mod directory;
 mod event_stream;
 mod follow;
--- a/wisteriaford_gateway/src/metrics.rs
+++ b/wisteriaford_gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     pub(crate) relayed_calls: Counter<u64>,
     pub(crate) failed_connections: Counter<u64>,
     pub(crate) carried_connections: Counter<u64>,
+    pub(crate) connections_over_others: Counter<u64>,
     pub(crate) endpoint_crashes: Counter<u64>,
     pub(crate) crash_reports: Counter<u64>,
     limited_sends: Counter<u64>,
@@ -82,6 +83,10 @@
                 "wisteriaford_carried_connections",
                 "Connections to endpoints carried for other instances.",
             ),
+            connections_over_others: counter(
+                "wisteriaford_connections_over_others",
+                "Connections to endpoints that other instances carry.",
+            ),
             endpoint_crashes: counter(
                 "wisteriaford_endpoint_crashes",
                 "Endpoints that ended without notice.",
--- a/wisteriaford_gateway/src/orders.rs
+++ b/wisteriaford_gateway/src/orders.rs
@@ -116,14 +116,19 @@
     gateway.view.load().endpoints.get(endpoint).cloned()
 }
 
-/// Calls an engine and records what it announces in its answer.
+/// Calls an engine and records what it announces in its answer. Orders come from the leader itself: an
+/// engine takes those over another instance for those of another leader.
 async fn call_engine(
     gateway: &Arc<Gateway>,
     engine: &Endpoint,
     request: EndpointRequest,
 ) -> Result<CompleteAnswer, CallError> {
     let sent_at = gateway.record_send(engine, SendKind::EngineControl);
-    let answer = reach::call(gateway, engine, request, CALL_TIMEOUT).await?;
+    let answer = reach::call_directly(gateway, engine, request, CALL_TIMEOUT).await;
+    if answer.is_err() {
+        reach::check_after_silence(gateway, sent_at);
+    }
+    let answer = answer?;
     let protocol = &gateway.endpoints;
     let metadata = protocol.decode_answer(answer.status, &answer.headers);
     gateway.record_answer(engine, sent_at, &metadata);
--- a/wisteriaford_gateway/src/peers.rs
+++ b/wisteriaford_gateway/src/peers.rs
@@ -27,6 +27,8 @@
 use crate::clock;
 use crate::crash_reports;
 use crate::crash_reports::REPORTS_PATH;
+use crate::departure_reports;
+use crate::departure_reports::DEPARTURES_PATH;
 use crate::follow::Follower;
 use crate::permits;
 use crate::permits::LIMITS_PATH;
@@ -185,6 +187,7 @@
     };
     match path.as_str() {
         RELAY_PATH => make_call(gateway, &body).await,
+        DEPARTURES_PATH => empty_answer(departure_reports::receive(gateway, &body)),
         REPORTS_PATH => empty_answer(crash_reports::receive(gateway, &body)),
         LIMITS_PATH => message_answer(permits::receive(gateway, &body)),
         stream_origins::REPORT_PATH => empty_answer(stream_origins::receive(gateway, &body)),
--- a/wisteriaford_gateway/src/permits.rs
+++ b/wisteriaford_gateway/src/permits.rs
@@ -169,6 +169,16 @@
     None
 }
 
+/// Returns whether a permit for an endpoint that was acquired before `connecting_since` is too old.
+pub(crate) fn is_outdated(
+    gateway: &Gateway,
+    endpoint: &Endpoint,
+    connecting_since: Timestamp,
+) -> bool {
+    let is_limited = gateway.announced_limits().get(endpoint).is_some();
+    is_limited && clock::now().since(connecting_since) > LEADER_TIMEOUT
+}
+
 /// Issues a permit for a call of an instance, which may be this one; the caller must be the leader.
 fn issue(gateway: &Gateway, call: &LimitCall) -> LimitAnswer {
     let now = clock::now();
--- a/wisteriaford_gateway/src/reach.rs
+++ b/wisteriaford_gateway/src/reach.rs
@@ -1,4 +1,6 @@
-//! Connections to endpoints, and what they tell of the instance's own links.
+//! Connections to endpoints: directly, or over another instance while the own links are cut.
+//!
+//! Connecting sends nothing of a request, so that both ways may be tried at the same time.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -6,18 +8,46 @@
 
 use wisteriaford_core::gateway::endpoint::Endpoint;
 use wisteriaford_core::gateway::links::LinkChange;
+use wisteriaford_core::gateway::links::Way;
+use wisteriaford_core::time::Timestamp;
 
 use crate::adapter::EndpointRequest;
 use crate::carry;
+use crate::carry::CarryError;
 use crate::client::CallError;
 use crate::client::CompleteAnswer;
 use crate::client::IncomingAnswer;
 use crate::clock;
 use crate::connection_pool::Connection;
+use crate::sends::SendKind;
 use crate::state::Gateway;
 
 /// Time after a connection to any endpoint for which an instance counts as one that reaches endpoints.
 pub(crate) const VOUCH_TIME: Duration = Duration::from_secs(1);
+/// Time without a direct connection after which other instances are asked, many round trips.
+const PATIENCE: Duration = Duration::from_millis(120);
+/// Time since the last byte from any endpoint after which a new connection counts only once something
+/// has come over it: one that opens may still lead nowhere.
+const HEARD_TIME: Duration = Duration::from_secs(1);
+/// Time limit for the answer that verifies a connection.
+const VERIFY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of endpoints that a check of the own links connects to.
+const CHECKED_ENDPOINTS: usize = 2;
+/// Minimum time between checks that are made because of silence.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval of the direct connections that find out whether a cut has ended.
+const RESTORE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time before the first failure of a cut since which ejections count as caused by it.
+const EJECTION_MARGIN: Duration = Duration::from_millis(500);
+
+/// Whether a new connection must be verified before it is used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Verification {
+    /// Only if nothing came from any endpoint lately.
+    AfterSilence,
+    /// In any case.
+    Always,
+}
 
 /// Sends a request to an endpoint and returns the answer once its head has arrived.
 ///
@@ -29,11 +59,23 @@
     fresh: bool,
 ) -> Result<IncomingAnswer, CallError> {
     let connection = connect(gateway, endpoint, fresh).await?;
+    send(gateway, endpoint, connection, request).await
+}
+
+/// Sends a request over a connection to an endpoint.
+pub(crate) async fn send(
+    gateway: &Gateway,
+    endpoint: &Endpoint,
+    connection: Connection,
+    request: EndpointRequest,
+) -> Result<IncomingAnswer, CallError> {
     let (peer, address) = (endpoint.id.as_str(), endpoint.address);
-    gateway
+    let answer = gateway
         .client
         .send(connection, peer, address, request)
-        .await
+        .await?;
+    record_heard(gateway, &answer);
+    Ok(answer)
 }
 
 /// Sends a request to an endpoint and reads the complete answer within `timeout`.
@@ -51,29 +93,209 @@
         .await
 }
 
-async fn connect(
+/// Like [`call`], but never over another instance: the endpoint tells instances apart.
+pub(crate) async fn call_directly(
+    gateway: &Arc<Gateway>,
+    endpoint: &Endpoint,
+    request: EndpointRequest,
+    timeout: Duration,
+) -> Result<CompleteAnswer, CallError> {
+    let (peer, address) = (endpoint.id.as_str(), endpoint.address);
+    let opened = async {
+        let idle = gateway.client.take_idle(peer, address, Way::Direct).await;
+        let connection = match idle {
+            Some(connection) => connection,
+            None => connect_directly(gateway, endpoint, Verification::AfterSilence).await?,
+        };
+        send(gateway, endpoint, connection, request).await
+    };
+    gateway
+        .client
+        .complete(peer, address, opened, timeout)
+        .await
+}
+
+/// Connects to an endpoint, or returns an idle connection unless it must be `fresh`.
+pub(crate) async fn connect(
     gateway: &Arc<Gateway>,
     endpoint: &Endpoint,
     fresh: bool,
 ) -> Result<Connection, CallError> {
+    let way = gateway.links().way(clock::now(), &endpoint.id);
     let (peer, address) = (endpoint.id.as_str(), endpoint.address);
-    if !fresh && let Some(connection) = gateway.client.take_idle(peer, address).await {
+    if !fresh && let Some(idle) = gateway.client.take_idle(peer, address, way).await {
+        return Ok(idle);
+    }
+    if way == Way::Direct {
+        return connect_any_way(gateway, endpoint, Verification::AfterSilence).await;
+    }
+    match connect_over_others(gateway, endpoint).await {
+        Ok(connection) => Ok(connection),
+        // The end of a cut is noticed without the requests.
+        Err(error) if gateway.links().is_cut() => Err(CallError::unreachable(error)),
+        Err(_) => connect_directly(gateway, endpoint, Verification::AfterSilence).await,
+    }
+}
+
+/// Connects to an endpoint directly, or over another instance if that takes long or fails.
+async fn connect_any_way(
+    gateway: &Arc<Gateway>,
+    endpoint: &Endpoint,
+    verification: Verification,
+) -> Result<Connection, CallError> {
+    let began_at = clock::now();
+    let direct = connect_directly(gateway, endpoint, verification);
+    tokio::pin!(direct);
+    let early = tokio::time::timeout(PATIENCE, direct.as_mut()).await;
+    if let Ok(Ok(connection)) = early {
         return Ok(connection);
     }
-    let connected = Connection::open(address).await;
+    let may_carry = gateway
+        .links()
+        .may_carry(clock::now(), began_at, &endpoint.id);
+    match early {
+        Ok(failed) if !may_carry => failed,
+        Err(_) if !may_carry => direct.await,
+        Ok(Err(error)) => {
+            let carried = connect_over_others(gateway, endpoint).await;
+            carried.map_err(|_| error)
+        }
+        Ok(Ok(connection)) => Ok(connection),
+        Err(_) => {
+            let carried = connect_over_others(gateway, endpoint);
+            tokio::pin!(carried);
+            tokio::select! {
+                biased;
+                connected = direct.as_mut() => match connected {
+                    Ok(connection) => Ok(connection),
+                    Err(error) => carried.await.map_err(|_| error),
+                },
+                connected = carried.as_mut() => match connected {
+                    Ok(connection) => Ok(connection),
+                    Err(_) => direct.await,
+                },
+            }
+        }
+    }
+}
+
+async fn connect_directly(
+    gateway: &Arc<Gateway>,
+    endpoint: &Endpoint,
+    verification: Verification,
+) -> Result<Connection, CallError> {
+    let connected = async {
+        let connection = Connection::open(endpoint.address).await?;
+        if is_verification_due(gateway, endpoint, verification) {
+            verify(gateway, endpoint, connection).await
+        } else {
+            Ok(connection)
+        }
+    };
+    let connected = connected.await;
     if connected.is_ok() {
         record_connected(gateway, endpoint);
     } else {
         record_failed(gateway, endpoint);
-        diagnose(gateway, endpoint);
     }
     connected
 }
 
+/// Makes sure that the own links work: that something came from an endpoint lately, or comes now.
+pub(crate) async fn verify_links(
+    gateway: &Arc<Gateway>,
+    endpoint: &Endpoint,
+) -> Result<(), CallError> {
+    if gateway.is_heard_since(clock::now() - HEARD_TIME) {
+        return Ok(());
+    }
+    let connection = connect_directly(gateway, endpoint, Verification::Always).await?;
+    let (peer, address) = (endpoint.id.as_str(), endpoint.address);
+    gateway.client.keep_unused(peer, address, connection);
+    Ok(())
+}
+
+fn is_verification_due(gateway: &Gateway, endpoint: &Endpoint, verification: Verification) -> bool {
+    // The request would count towards the limit of an endpoint.
+    if gateway.announced_limits().get(endpoint).is_some() {
+        return false;
+    }
+    verification == Verification::Always
+        || gateway.links().is_cut()
+        || !gateway.is_heard_since(clock::now() - HEARD_TIME)
+}
+
+/// Verifies that an endpoint answers over a new connection.
+async fn verify(
+    gateway: &Arc<Gateway>,
+    endpoint: &Endpoint,
+    connection: Connection,
+) -> Result<Connection, CallError> {
+    let request = gateway.endpoints.inspection_request(&endpoint.id);
+    let sent_at = gateway.record_send(endpoint, SendKind::Probe);
+    let answered = send(gateway, endpoint, connection, request);
+    let answer = tokio::time::timeout(VERIFY_TIMEOUT, answered).await;
+    let answer = answer.map_err(|_| CallError::unreachable("no answer over a new connection"))?;
+    let answer = answer.map_err(CallError::unreachable)?;
+    let metadata = {
+        let response = &answer.response;
+        let protocol = &gateway.endpoints;
+        protocol.decode_answer(response.status(), response.headers())
+    };
+    gateway.record_answer(endpoint, sent_at, &metadata);
+    match answer.into_unused_connection().await {
+        Some(connection) => Ok(connection),
+        None => Connection::open(endpoint.address).await,
+    }
+}
+
+/// Connects to an endpoint over another instance.
+pub(crate) async fn connect_over_others(
+    gateway: &Arc<Gateway>,
+    endpoint: &Endpoint,
+) -> Result<Connection, CarryError> {
+    let began_at = clock::now();
+    let connected = carry::connect(gateway, endpoint).await;
+    let now = clock::now();
+    let is_cut = gateway.links().is_cut();
+    match &connected {
+        Ok(connection) => {
+            gateway.metrics.connections_over_others.add(1, &[]);
+            log::info!(
+                endpoint:% = endpoint.id, carrier = connection.carrier.as_deref(), cut = is_cut,
+                took_ms = now.since(began_at).as_millis();
+                "endpoint connected to over another instance"
+            );
+            record_reached(gateway, endpoint, now);
+        }
+        Err(error) => {
+            log::info!(
+                endpoint:% = endpoint.id, error:% = error, cut = is_cut,
+                took_ms = now.since(began_at).as_millis();
+                "endpoint not connected to over other instances"
+            );
+            gateway.links().record_unreached(now, &endpoint.id);
+        }
+    }
+    connected
+}
+
+/// Records that another instance reaches an endpoint that this one doesn't reach directly.
+fn record_reached(gateway: &Arc<Gateway>, endpoint: &Endpoint, now: Timestamp) {
+    let known_endpoints = gateway.view.load().endpoints.len();
+    let change = {
+        let mut links = gateway.links();
+        // A direct connection may still be on its way.
+        links.record_failed(now, &endpoint.id);
+        links.record_reached(now, &endpoint.id, known_endpoints)
+    };
+    apply_change(gateway, endpoint, change);
+}
+
 /// Records a direct connection to an endpoint.
-pub(crate) fn record_connected(gateway: &Gateway, endpoint: &Endpoint) {
+pub(crate) fn record_connected(gateway: &Arc<Gateway>, endpoint: &Endpoint) {
     let change = gateway.links().record_connected(clock::now(), &endpoint.id);
-    log_change(endpoint, change);
+    apply_change(gateway, endpoint, change);
 }
 
 /// Records that a direct connection to an endpoint failed.
@@ -82,50 +304,129 @@
     gateway.links().record_failed(clock::now(), &endpoint.id);
 }
 
-fn log_change(endpoint: &Endpoint, change: Option<LinkChange>) {
+/// Records that something came from an endpoint, if directly.
+pub(crate) fn record_heard(gateway: &Gateway, answer: &IncomingAnswer) {
+    if !answer.is_carried() {
+        gateway.heard_at_us.store(clock::now().0, Ordering::Release);
+    }
+}
+
+/// Logs a change of the own links, and undoes what was believed of endpoints because of them.
+fn apply_change(gateway: &Arc<Gateway>, endpoint: &Endpoint, change: Option<LinkChange>) {
+    let Some(change) = change else { return };
+    let (LinkChange::Cut { failing_since } | LinkChange::Restored { failing_since }) = change;
+    let elapsed_ms = clock::now().since(failing_since).as_millis();
     match change {
-        Some(LinkChange::Cut { failing_for }) => log::warn!(
-            endpoint:% = endpoint.id, failing_ms = failing_for.as_millis();
+        LinkChange::Cut { .. } => log::warn!(
+            endpoint:% = endpoint.id, failing_ms = elapsed_ms,
+            leads = gateway.leadership().leader_fence().is_some();
             "links to endpoints cut, others reach them"
         ),
-        Some(LinkChange::Restored { cut_for, .. }) => log::info!(
-            endpoint:% = endpoint.id, cut_ms = cut_for.as_millis();
-            "links to endpoints restored"
-        ),
-        None => {}
+        LinkChange::Restored { .. } => {
+            log::info!(endpoint:% = endpoint.id, cut_ms = elapsed_ms; "links to endpoints restored");
+            gateway.client.close_carried();
+        }
+    }
+    let since = failing_since - EJECTION_MARGIN;
+    gateway.load_balancer().readmit_ejected_since(since);
+    gateway.scorer_balancer().readmit_ejected_since(since);
+    gateway.links_changed.notify_waiters();
+    gateway.runner_wake.notify_one();
+}
+
+/// Returns whether the own links work: whether one of some endpoints is connected to directly, or none of
+/// them is reached by others either.
+pub(crate) async fn check(gateway: &Arc<Gateway>, since: Timestamp) -> bool {
+    let _guard = gateway.link_check.lock().await;
+    {
+        let links = gateway.links();
+        if links.is_cut() || links.is_proven_since(since) {
+            return !links.is_cut();
+        }
+    }
+    let mut is_reached_by_others = false;
+    for endpoint in endpoints_to_check(gateway) {
+        let connected = connect_any_way(gateway, &endpoint, Verification::Always).await;
+        let Ok(connection) = connected else { continue };
+        let is_direct = connection.carrier.is_none();
+        let (peer, address) = (endpoint.id.as_str(), endpoint.address);
+        gateway.client.keep_unused(peer, address, connection);
+        if is_direct {
+            return true;
+        }
+        is_reached_by_others = true;
     }
+    !is_reached_by_others
 }
 
-/// Finds out whether other instances reach an endpoint to which a connection failed.
-fn diagnose(gateway: &Arc<Gateway>, endpoint: &Endpoint) {
-    if gateway.is_diagnosing.swap(true, Ordering::AcqRel) {
+/// Returns some endpoints, others each time; those that seem to work first.
+fn endpoints_to_check(gateway: &Gateway) -> Vec<Endpoint> {
+    let turn = gateway
+        .check_turn
+        .fetch_add(CHECKED_ENDPOINTS, Ordering::Relaxed);
+    let now = clock::now();
+    let view = gateway.view.load();
+    let load_balancer = gateway.load_balancer();
+    let limits = gateway.announced_limits();
+    let serving = view.endpoints.iter().filter(|endpoint| !endpoint.leaving);
+    let mut endpoints: Vec<&Endpoint> = serving.collect();
+    if endpoints.is_empty() {
+        return Vec::new();
+    }
+    let middle = turn % endpoints.len();
+    endpoints.rotate_left(middle);
+    endpoints.sort_by_key(|endpoint| {
+        let is_limited = limits.get(endpoint).is_some();
+        (is_limited, !load_balancer.is_available(now, &endpoint.id))
+    });
+    let checked = endpoints.into_iter().take(CHECKED_ENDPOINTS);
+    checked.cloned().collect()
+}
+
+/// Checks the own links if nothing has come from any endpoint since a time.
+pub(crate) fn check_after_silence(gateway: &Arc<Gateway>, since: Timestamp) {
+    let now = clock::now();
+    if gateway.is_heard_since(since) || gateway.links().is_cut() {
         return;
     }
-    let (gateway, endpoint) = (Arc::clone(gateway), endpoint.clone());
+    let last_us = gateway.silence_checked_at_us.load(Ordering::Acquire);
+    if now.since(Timestamp(last_us)) < CHECK_INTERVAL {
+        return;
+    }
+    gateway
+        .silence_checked_at_us
+        .store(now.0, Ordering::Release);
+    let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
-        let connected_at = gateway.links().connected_at();
-        let result = carry::connect(&gateway, &endpoint).await;
-        let now = clock::now();
-        let carrier = result
-            .as_ref()
-            .ok()
-            .and_then(|opened| opened.carrier.clone());
-        let cause = result.as_ref().err().map(ToString::to_string);
+        let is_intact = check(&gateway, now).await;
         log::info!(
-            endpoint:% = endpoint.id, reached_over = carrier.as_deref(), cause = cause,
-            own_connection_age_ms = now.since(connected_at).as_millis(),
-            leads = gateway.leadership().leader_fence().is_some();
-            "connection to an endpoint failed here"
+            silent_ms = now.since(since).as_millis(), intact = is_intact,
+            took_ms = clock::now().since(now).as_millis();
+            "links checked after silence of all endpoints"
         );
-        let known_endpoints = gateway.view.load().endpoints.len();
-        let change = if result.is_ok() {
-            let mut links = gateway.links();
-            links.record_reached(now, &endpoint.id, known_endpoints)
-        } else {
-            gateway.links().record_unreached(now, &endpoint.id);
-            None
-        };
-        log_change(&endpoint, change);
-        gateway.is_diagnosing.store(false, Ordering::Release);
     });
 }
+
+/// Finds out when cut links work again, until the process ends.
+pub(crate) async fn watch_cut(gateway: Arc<Gateway>) {
+    let mut turn = 0;
+    loop {
+        let changed = gateway.links_changed.notified();
+        tokio::select! {
+            () = changed => {}
+            () = tokio::time::sleep(RESTORE_INTERVAL) => {}
+        }
+        let endpoint = {
+            let links = gateway.links();
+            let failed = links.failed_endpoint(turn).filter(|_| links.is_cut());
+            failed.cloned()
+        };
+        let view = gateway.view.load();
+        let endpoint = endpoint.and_then(|endpoint| view.endpoints.get(&endpoint).cloned());
+        if let Some(endpoint) = endpoint {
+            turn = turn.wrapping_add(1);
+            // The outcome is recorded where it is found.
+            drop(connect_directly(&gateway, &endpoint, Verification::Always).await);
+        }
+    }
+}
--- a/wisteriaford_gateway/src/refusal.rs
+++ b/wisteriaford_gateway/src/refusal.rs
@@ -48,6 +48,9 @@
     /// All endpoints refused the request or were unreachable; it did not run.
     #[display("endpoints_full")]
     EndpointsFull,
+    /// No connection to an endpoint came about in time; the request did not run.
+    #[display("endpoints_unreachable")]
+    EndpointsUnreachable,
     /// The endpoints that are left limit their requests, and no more may be sent now.
     #[display("endpoints_limited")]
     EndpointsLimited,
@@ -89,6 +92,7 @@
             Self::NoRoutesKnown
             | Self::NoEndpoint
             | Self::EndpointsFull
+            | Self::EndpointsUnreachable
             | Self::EndpointsLimited
             | Self::StreamOriginUnknown
             | Self::Quarantined
--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -128,6 +128,11 @@
         &self.endpoint.id
     }
 
+    /// Returns the time at which the run began.
+    pub(crate) fn began_at(&self) -> Timestamp {
+        self.began_at
+    }
+
     /// Returns the version of the endpoint's software.
     pub(crate) fn software(&self) -> &SoftwareVersion {
         &self.endpoint.software
@@ -173,6 +178,13 @@
             return;
         }
         let gateway = &self.permit.gateway;
+        if gateway.is_excused(self.began_at) {
+            log::info!(
+                fingerprint:% = self.fingerprint, endpoint:% = self.endpoint.id, loss:? = loss;
+                "run lost with the links of this instance"
+            );
+            return;
+        }
         let view = gateway.view.load();
         let listed = view.endpoints.get(&self.endpoint.id);
         let run = LostRun {
--- a/wisteriaford_gateway/src/runner.rs
+++ b/wisteriaford_gateway/src/runner.rs
@@ -48,6 +48,7 @@
 use crate::state::Gateway;
 use crate::state::lock;
 use crate::state::stopped;
+use crate::stream;
 
 /// Interval between passes while items run or wait; an engine generates an event in about 40 ms.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -61,6 +62,8 @@
 const LOADING_SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Interval at which a silent item is checked for having stalled while its engine goes on with others.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of runs that must be silent together before the links of this instance are checked.
+const MIN_RUNS_TO_CHECK: usize = 2;
 /// Maximum number of times that a silence timeout is doubled.
 const MAX_TIMEOUT_DOUBLINGS: u32 = 4;
 /// Delay before retrying to read the items of a batch job, some tens of the store's round trips.
@@ -129,6 +132,9 @@
         log::info!(items = moved.len(); "items moved from slow engines");
         stop_runs(runs, &moved);
     }
+    if runs.len() >= MIN_RUNS_TO_CHECK {
+        reach::check_after_silence(gateway, clock::now() - stream::CUT_SILENCE);
+    }
     let starts = next_starts(gateway);
     for discarded in gateway.schedule().take_discarded() {
         log::info!(
@@ -351,6 +357,7 @@
     let mut run = Run::begin(&start.endpoint, start.fingerprint, permit);
     // Items are also stopped when their batch job ends or they move to another engine.
     run.ignore_drop();
+    let began_at = run.began_at();
     let (outcome, cause) = match stream_item(&gateway, &start, &mut run).await {
         Ok(()) => (RunOutcome::Completed, None),
         Err((outcome, cause)) => (outcome, Some(cause)),
@@ -358,7 +365,9 @@
     drop(in_flight);
     end_run(run, outcome);
     let now = clock::now();
-    record_outcome(&gateway, &start, outcome);
+    if outcome == RunOutcome::Completed || !gateway.is_excused(began_at) {
+        record_outcome(&gateway, &start, outcome);
+    }
     let route = {
         let view = gateway.view.load();
         view.routes.find(&start.job.host, &start.item.path).cloned()
@@ -565,6 +574,7 @@
             let Some(id) = event.id else { continue };
             run.record_output();
             let elapsed = events.record(clock::now());
+            reach::record_heard(gateway, &answer);
             record_event(gateway, start, elapsed);
             if !gateway.schedule().on_event(start, id, event.data, version) {
                 run.dismiss();
--- a/wisteriaford_gateway/src/score.rs
+++ b/wisteriaford_gateway/src/score.rs
@@ -1,6 +1,7 @@
 //! Calls of scorers for the complete texts of items, while this instance is the leader.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -36,9 +37,10 @@
     let request = Exchange {
         endpoint: &start.endpoint,
         kind: SendKind::Score,
-        request: gateway.endpoints.scorer_request(&start),
+        build: Box::new(|| gateway.endpoints.scorer_request(&start)),
         id: &start.scorer.request,
         fresh: false,
+        sent: &AtomicBool::new(false),
     };
     let answered = tokio::time::timeout(start.timeout, exchange(&gateway, request, run)).await;
     let result = match answered {
@@ -48,7 +50,9 @@
     drop(in_flight);
     let now = clock::now();
     let elapsed = now.since(sent_at);
-    record_outcome(&gateway, &start, &result, elapsed);
+    if result.is_ok() || !gateway.is_excused(sent_at) {
+        record_outcome(&gateway, &start, &result, elapsed);
+    }
     let (result, cause) = match result {
         Ok(score) => (Ok(score), None),
         Err((outcome, cause)) => (Err(outcome), Some(cause)),
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -56,6 +56,7 @@
 use crate::client::Client;
 use crate::clock;
 use crate::contents::ContentCache;
+use crate::departure_reports;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
 use crate::relay::RelayedLog;
@@ -180,8 +181,18 @@
     carriers: Mutex<Carriers>,
     /// Number of connections to endpoints that this instance carries for others.
     pub(crate) carried_connections: AtomicUsize,
-    /// Whether other instances are being asked about a failed connection.
-    pub(crate) is_diagnosing: AtomicBool,
+    /// Notified when the links of this instance are cut or restored.
+    pub(crate) links_changed: Notify,
+    /// Held while the own links are being checked.
+    pub(crate) link_check: tokio::sync::Mutex<()>,
+    /// Number of endpoints that checks have connected to.
+    pub(crate) check_turn: AtomicUsize,
+    /// Time of the last check because of silence.
+    pub(crate) silence_checked_at_us: AtomicU64,
+    /// Time at which something last came directly from any endpoint.
+    pub(crate) heard_at_us: AtomicU64,
+    /// Time of the last lost run since reports were last sent; zero for none.
+    pub(crate) unverified_loss_at_us: AtomicU64,
     departures: Mutex<Departures>,
     announced_limits: Mutex<AnnouncedLimits>,
     permits: Mutex<PermitIssuer>,
@@ -247,7 +258,12 @@
             links: Mutex::default(),
             carriers: Mutex::default(),
             carried_connections: AtomicUsize::new(0),
-            is_diagnosing: AtomicBool::new(false),
+            links_changed: Notify::new(),
+            link_check: tokio::sync::Mutex::default(),
+            check_turn: AtomicUsize::new(0),
+            silence_checked_at_us: AtomicU64::new(0),
+            heard_at_us: AtomicU64::new(0),
+            unverified_loss_at_us: AtomicU64::new(0),
             departures: Mutex::default(),
             announced_limits: Mutex::default(),
             permits: Mutex::default(),
@@ -284,6 +300,18 @@
         lock(&self.links)
     }
 
+    /// Returns whether something came directly from an endpoint at a time or later.
+    pub(crate) fn is_heard_since(&self, since: Timestamp) -> bool {
+        let heard_at = Timestamp(self.heard_at_us.load(Ordering::Acquire));
+        heard_at >= since && heard_at > Timestamp::default()
+    }
+
+    /// Returns whether a failure at an endpoint of a request sent at a time may be due to the own links.
+    pub(crate) fn is_excused(&self, sent_at: Timestamp) -> bool {
+        let cut_known_at = self.links().cut_known_at();
+        cut_known_at.is_some_and(|known_at| sent_at < known_at)
+    }
+
     /// Returns the instances over which endpoints are connected to.
     pub(crate) fn carriers(&self) -> MutexGuard<'_, Carriers> {
         lock(&self.carriers)
@@ -297,8 +325,15 @@
 
     /// Takes an endpoint out of service at once if its answer announces that it is leaving.
     pub(crate) fn record_departure(&self, endpoint: &Endpoint, answer: &AnswerMetadata) {
-        if !answer.leaving || !lock(&self.departures).announce(endpoint) {
-            return;
+        if answer.leaving && self.announce_departure(endpoint, "announced in an answer") {
+            departure_reports::send(self, endpoint);
+        }
+    }
+
+    /// Takes an endpoint out of service at once; returns whether its departure is news.
+    pub(crate) fn announce_departure(&self, endpoint: &Endpoint, source: &str) -> bool {
+        if !lock(&self.departures).announce(endpoint) {
+            return false;
         }
         self.view.rcu(|view| {
             let mut view = View::clone(view);
@@ -306,10 +341,11 @@
             view
         });
         log::info!(
-            endpoint:% = endpoint.id, started_unix_ms = endpoint.started_unix_ms;
+            endpoint:% = endpoint.id, started_unix_ms = endpoint.started_unix_ms, source = source;
             "endpoint announced in an answer that it is leaving"
         );
         self.runner_wake.notify_one();
+        true
     }
 
     /// Puts a table of endpoints in force.
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -1,6 +1,7 @@
 //! Forwarding of event streams to callers, resumed at another endpoint after a failure.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +26,7 @@
 use wisteriaford_core::time::Timestamp;
 
 use crate::adapter::CallerHead;
+use crate::adapter::EndpointRequest;
 use crate::client::CallError;
 use crate::client::IncomingAnswer;
 use crate::clock;
@@ -52,6 +54,8 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval at which a silent stream is checked for having stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Silence after which a stream counts as lost with the links of this instance, some events long.
+pub(crate) const CUT_SILENCE: Duration = Duration::from_millis(400);
 /// Delay before a stream is resumed at another endpoint.
 const RESUME_BACKOFF: Duration = Duration::from_millis(30);
 
@@ -87,6 +91,25 @@
     software: Option<SoftwareVersion>,
 }
 
+impl StreamedCall {
+    /// Returns the request with which an endpoint goes on after the last event sent to the caller.
+    fn request(&self, endpoint: &Endpoint) -> EndpointRequest {
+        let call = Call {
+            head: &self.head,
+            route: &self.route,
+            pool: &self.pool,
+            parts: &self.parts,
+            body: self.body.clone(),
+            fingerprint: self.fingerprint,
+            arrived_at: clock::now(),
+            deadline: self.deadline,
+            software: self.software.clone(),
+            sent: AtomicBool::new(true),
+        };
+        build_request(&self.gateway, &call, endpoint, self.last_event)
+    }
+}
+
 /// Outcome of forwarding one endpoint's part of a stream.
 enum PartEnd {
     /// The stream is complete.
@@ -162,9 +185,10 @@
             endpoint:% = endpoint, error:% = error, last_event = call.last_event;
             "stream failed"
         );
-        call.gateway
-            .load_balancer()
-            .record_failure(clock::now(), &endpoint);
+        if !call.gateway.is_excused(run.began_at()) {
+            let mut load_balancer = call.gateway.load_balancer();
+            load_balancer.record_failure(clock::now(), &endpoint);
+        }
         let is_alone = run.is_alone();
         run.lose(match error {
             CallError::Timeout => Loss::Silent,
@@ -213,6 +237,10 @@
                 run.dismiss();
                 return PartEnd::Failed(CallError::Timeout);
             }
+            Err(_) if is_way_cut(call, run, &open, silent_since) => {
+                run.dismiss();
+                return PartEnd::Failed(CallError::Timeout);
+            }
             Err(_) if wait < timeout => continue,
             Err(_) if timeout < remaining && !can_resume(call) => {
                 // A slow stream is worth more than none.
@@ -244,6 +272,7 @@
                 run.record_output();
                 silent_since = clock::now();
                 events.record(silent_since);
+                reach::record_heard(&call.gateway, &open);
                 let mut load_balancer = call.gateway.load_balancer();
                 load_balancer.record_event(silent_since, run.endpoint());
             }
@@ -286,6 +315,22 @@
     is_stalled && call.route.is_resumable() && can_resume(call)
 }
 
+/// Returns whether a silent stream comes over a link of this instance that is cut, while others can carry
+/// it on. Has the links checked if no endpoint is heard.
+fn is_way_cut(
+    call: &StreamedCall,
+    run: &Run,
+    open: &IncomingAnswer,
+    silent_since: Timestamp,
+) -> bool {
+    let silence = clock::now().since(silent_since);
+    if open.is_carried() || silence < CUT_SILENCE || !call.route.is_resumable() {
+        return false;
+    }
+    reach::check_after_silence(&call.gateway, silent_since);
+    call.gateway.is_excused(run.began_at()) && can_resume(call)
+}
+
 fn can_resume(call: &StreamedCall) -> bool {
     call.attempts.may_try() && has_endpoint(call)
 }
@@ -293,6 +338,7 @@
 /// Resumes the stream at another endpoint, after the last event sent to the caller.
 async fn resume(call: &mut StreamedCall) -> Option<OpenStream> {
     let has_time = |call: &StreamedCall| call.deadline > clock::now();
+    let gateway = Arc::clone(&call.gateway);
     while call.route.is_resumable() && call.attempts.may_try() && has_time(call) {
         tokio::time::sleep(RESUME_BACKOFF).await;
         let permit = admit(call).await?;
@@ -309,21 +355,21 @@
             call.attempts.record_unreachable();
             continue;
         }
-        let request = {
-            let forwarded = Call {
-                head: &call.head,
-                route: &call.route,
-                pool: &call.pool,
-                parts: &call.parts,
-                body: call.body.clone(),
-                fingerprint: call.fingerprint,
-                deadline: call.deadline,
-                software: call.software.clone(),
-            };
-            build_request(&call.gateway, &forwarded, &endpoint, call.last_event)
+        let sent_at = gateway.record_send(&endpoint, SendKind::Resumption);
+        let opened = async {
+            let connection = reach::connect(&gateway, &endpoint, true).await?;
+            if permits::is_outdated(&gateway, &endpoint, sent_at) {
+                return Err(CallError::unreachable("the permit is outdated"));
+            }
+            if let Some(carrier) = &connection.carrier {
+                log::info!(
+                    request:% = call.head.request, endpoint:% = endpoint.id, carrier:% = carrier;
+                    "stream resumed over another instance"
+                );
+            }
+            let request = call.request(&endpoint);
+            reach::send(&gateway, &endpoint, connection, request).await
         };
-        let sent_at = call.gateway.record_send(&endpoint, SendKind::Resumption);
-        let opened = reach::open(&call.gateway, &endpoint, request, true);
         let remaining = call.deadline.since(clock::now()).min(SILENCE_TIMEOUT);
         let mut run = Run::begin(&endpoint, call.fingerprint, permit);
         let answer = match tokio::time::timeout(remaining, opened).await {
@@ -337,8 +383,10 @@
                     }
                     Err(_) => run.lose(Loss::Silent),
                 }
-                let mut load_balancer = call.gateway.load_balancer();
-                load_balancer.record_unreachable(clock::now(), &endpoint.id);
+                if !gateway.is_excused(sent_at) {
+                    let mut load_balancer = gateway.load_balancer();
+                    load_balancer.record_unreachable(clock::now(), &endpoint.id);
+                }
                 continue;
             }
         };
--- a/wisteriaford_proto/src/lib.rs
+++ b/wisteriaford_proto/src/lib.rs
@@ -51,6 +51,12 @@
     include!("generated/wisteriaford.limits.rs");
 }
 
+/// Endpoints that are leaving.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+pub mod departures {
+    include!("generated/wisteriaford.departures.rs");
+}
+
 /// Versions of software that began streams.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
 pub mod streams {
--- a/wisteriaford_schema/src/main.rs
+++ b/wisteriaford_schema/src/main.rs
@@ -7,12 +7,13 @@
 
 const SCHEMA_DIR: &str = "wisteriaford_proto/proto";
 const OUTPUT_DIR: &str = "wisteriaford_proto/src/generated";
-const SCHEMAS: [&str; 12] = [
+const SCHEMAS: [&str; 13] = [
     "wisteriaford/settings.proto",
     "wisteriaford/record.proto",
     "wisteriaford/membership.proto",
     "wisteriaford/admission.proto",
     "wisteriaford/step.proto",
+    "wisteriaford/departures.proto",
     "wisteriaford/fleet.proto",
     "wisteriaford/peer.proto",
     "wisteriaford/limits.proto",
