Hand the leadership over while the own links to endpoints are cut

Cause: the lease depends on the log alone.

Change: a leader that has known for 300 ms that it is cut off releases its lease, after saving the output of items. An instance that is cut off claims only what nobody else has claimed for two seconds, and one that hasn't connected to an endpoint within a second checks its links before it claims. If all are cut, nobody reaches the endpoints for it, so that no cut is known and the leader stays. The gap between the orders of two leaders is as before.

--- a/wisteriaford_core/src/gateway/leadership.rs
+++ b/wisteriaford_core/src/gateway/leadership.rs
@@ -8,7 +8,8 @@
 //! renewal; other instances take over [`LEASE`] after they saw that renewal. Running an item twice
 //! is harmless, so this time is short. Orders need more time: a new leader gives none until the
 //! previous one must have stopped, even if that one renewed once more than was seen. A daemon that
-//! restarts on the leader's machine knows that the leader is gone, and takes over immediately.
+//! restarts on the leader's machine knows that the leader is gone, and takes over immediately. A leader
+//! that loses its links to endpoints which others reach releases the lease.
 
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
 const MAX_CLAIM_DELAY_MS: u64 = 300;
 /// Delay before an instance without any share of a processor claims, beside one with a whole processor.
 const MAX_SHARE_DELAY: Duration = Duration::from_millis(400);
+/// Delay before an instance claims that doesn't reach endpoints: others have claimed long before.
+const ASIDE_DELAY: Duration = Duration::from_secs(2);
 /// Delay after an append that was refused or whose answer was lost; well below
 /// [`RENEWAL_INTERVAL`].
 const APPEND_BACKOFF: Duration = Duration::from_millis(200);
@@ -50,6 +53,8 @@
     pub value: Vec<u8>,
     /// Whether the record releases the lease.
     pub releases: bool,
+    /// Whether the record begins a term.
+    pub claims: bool,
 }
 
 /// Outcome of an append.
@@ -97,6 +102,17 @@
     releases: bool,
 }
 
+/// Whether an instance claims and keeps the leadership.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Candidacy {
+    /// It does.
+    Full,
+    /// It leaves the leadership to others, as they reach endpoints and it doesn't.
+    Aside,
+    /// It is shutting down.
+    Resigned,
+}
+
 /// State of the leadership and its lease, folded from the records of its topic.
 #[derive(Clone, Debug)]
 pub struct Leadership {
@@ -124,8 +140,9 @@
     next_append: Timestamp,
     /// Limits of endpoints to list in the next record.
     limits: Vec<EndpointLimit>,
-    /// Whether this instance claims and keeps the leadership; false once it has resigned.
-    is_candidate: bool,
+    candidacy: Candidacy,
+    /// Whether this instance acquired the leadership while it stood aside.
+    claimed_aside: bool,
 }
 
 impl Leadership {
@@ -151,7 +168,8 @@
             in_flight: false,
             next_append: Timestamp::default(),
             limits: Vec::new(),
-            is_candidate: true,
+            candidacy: Candidacy::Full,
+            claimed_aside: false,
         }
     }
 
@@ -169,7 +187,20 @@
 
     /// Stops claiming, and releases the lease if this instance is the leader.
     pub fn resign(&mut self) {
-        self.is_candidate = false;
+        self.candidacy = Candidacy::Resigned;
+    }
+
+    /// Sets whether this instance leaves the leadership to others, because they reach endpoints and it
+    /// doesn't. It claims only what nobody else does.
+    pub fn set_standing_aside(&mut self, stands_aside: bool) {
+        if self.candidacy != Candidacy::Resigned {
+            self.claimed_aside &= stands_aside;
+            self.candidacy = if stands_aside {
+                Candidacy::Aside
+            } else {
+                Candidacy::Full
+            };
+        }
     }
 
     /// Returns the fencing number if this instance is the leader as far as was read.
@@ -302,11 +333,22 @@
             return None;
         }
         let fence = self.leader_fence();
+        let releases = fence.is_some() && self.yields();
         let is_due = match fence {
-            Some(_) => !self.is_candidate || now.since(self.last_renewal) >= RENEWAL_INTERVAL,
-            None => self.is_candidate && self.is_vacant(now),
+            Some(_) => releases || now.since(self.last_renewal) >= RENEWAL_INTERVAL,
+            None => self.candidacy != Candidacy::Resigned && self.is_vacant(now),
         };
-        is_due.then(|| self.prepare(now, at, fence, !self.is_candidate))
+        is_due.then(|| self.prepare(now, at, fence, releases))
+    }
+
+    /// Returns whether this instance hands the leadership over.
+    fn yields(&self) -> bool {
+        match self.candidacy {
+            Candidacy::Full => false,
+            // What nobody else has claimed is not released again.
+            Candidacy::Aside => !self.claimed_aside,
+            Candidacy::Resigned => true,
+        }
     }
 
     /// Handles the outcome of the last append.
@@ -352,6 +394,7 @@
             at,
             value: record.encode_to_vec(),
             releases: released,
+            claims: fence.is_none(),
         }
     }
 
@@ -378,6 +421,7 @@
             }
         }
         if begins_term {
+            self.claimed_aside = self.candidacy == Candidacy::Aside;
             let previous = self.term.as_ref().filter(|term| term.host != self.host);
             let allowed_from = previous.map(|term| term.last_seen + LEASE + self.order_gap);
             self.orders_allowed_from = allowed_from.unwrap_or(now);
@@ -386,7 +430,11 @@
 
     /// Returns whether this instance may claim the leadership.
     fn is_vacant(&self, now: Timestamp) -> bool {
-        let claim_delay = self.claim_spread + self.share_delay;
+        let mut claim_delay = self.claim_spread + self.share_delay;
+        let is_aside = self.candidacy == Candidacy::Aside;
+        if is_aside {
+            claim_delay += ASIDE_DELAY;
+        }
         let Some(reachable_since) = self.reachable_since else {
             return false;
         };
@@ -396,7 +444,7 @@
         if term.released {
             return now >= term.last_seen + claim_delay;
         }
-        if term.host == self.host {
+        if term.host == self.host && !is_aside {
             return true;
         }
         let expires_at = term.last_seen + LEASE;
--- a/wisteriaford_core/tests/gateway_leadership.rs
+++ b/wisteriaford_core/tests/gateway_leadership.rs
@@ -271,3 +271,59 @@
         claim_after_release(620, 620) + Duration::from_millis(200)
     );
 }
+
+/// Guards against a leader that keeps its lease while it doesn't reach the engines that others reach.
+#[test]
+fn a_leader_that_stands_aside_hands_over_to_one_that_does_not() {
+    let (mut topic, mut leader) = elected(at(10_000));
+    let mut other = candidate("two-1", "two");
+    topic.read(at(10_000), &mut other);
+
+    leader.set_standing_aside(true);
+    assert!(topic.append_due(at(10_100), &mut leader));
+    topic.read(at(10_100), &mut leader);
+    topic.read(at(10_100), &mut other);
+    let claimed_at = at(10_100) + CLAIM_TIME;
+    let claims_again = leader.due_append(claimed_at).is_some();
+    assert!(topic.append_due(claimed_at, &mut other));
+    topic.read(claimed_at, &mut leader);
+    topic.read(claimed_at, &mut other);
+
+    assert!(!claims_again);
+    assert_eq!(leader.leader_fence(), None);
+    assert!(other.leader_fence().is_some());
+    assert_eq!(other.order_fence(claimed_at), None);
+}
+
+/// Guards against a fleet without a leader if all instances are cut off.
+#[test]
+fn what_nobody_else_claims_is_kept_although_standing_aside() {
+    let (mut topic, mut leader) = elected(at(10_000));
+    leader.set_standing_aside(true);
+    assert!(topic.append_due(at(10_100), &mut leader));
+    topic.read(at(10_100), &mut leader);
+
+    let claimed_at = at(10_100) + CLAIM_TIME + Duration::from_secs(2);
+    assert!(topic.append_due(claimed_at, &mut leader));
+    topic.read(claimed_at, &mut leader);
+    let renewed_at = claimed_at + RENEWAL_INTERVAL;
+    assert!(topic.append_due(renewed_at, &mut leader));
+    topic.read(renewed_at, &mut leader);
+
+    assert!(leader.leader_fence().is_some());
+}
+
+/// Guards against a term that ends with each further cut of an instance that once claimed while cut off.
+#[test]
+fn a_leader_hands_over_again_in_a_later_cut() {
+    let (mut topic, mut leader) = elected(at(10_000));
+    leader.set_standing_aside(true);
+    leader.set_standing_aside(false);
+    assert!(topic.append_due(at(10_000) + RENEWAL_INTERVAL, &mut leader));
+    topic.read(at(10_000) + RENEWAL_INTERVAL, &mut leader);
+
+    leader.set_standing_aside(true);
+    let due = leader.due_append(at(10_700));
+
+    assert!(due.is_some_and(|due| due.releases));
+}
--- a/wisteriaford_gateway/src/leadership_task.rs
+++ b/wisteriaford_gateway/src/leadership_task.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::follow::Follower;
 use crate::progress;
+use crate::reach;
 use crate::state::Gateway;
 use crate::state::stopped;
 
@@ -22,6 +23,10 @@
 const LEADERSHIP_WAIT: Duration = Duration::from_secs(1);
 /// Interval of the check whether an append is due.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which the links must be cut before a leader hands over.
+const MIN_CUT_TIME: Duration = Duration::from_millis(300);
+/// Age up to which a connection to an endpoint shows that the links work.
+const RECENT_CONNECTION: Duration = Duration::from_secs(1);
 /// Key of the leadership records.
 const LEADERSHIP_KEY: &str = "runner";
 
@@ -90,6 +95,18 @@
     gateway.runner_wake.notify_one();
 }
 
+/// Returns whether this instance may claim: it reaches endpoints, nobody does, or nobody else claims.
+async fn may_claim(gateway: &Arc<Gateway>) -> bool {
+    if gateway.links().is_cut() {
+        return true;
+    }
+    let is_intact = reach::check(gateway, clock::now() - RECENT_CONNECTION).await;
+    if !is_intact {
+        log::warn!("leadership not claimed, the links to endpoints are cut");
+    }
+    is_intact
+}
+
 /// Renews or claims the leadership until the gateway stops.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut stop = gateway.stop.clone();
@@ -98,11 +115,20 @@
             .announced_limits()
             .listing(&gateway.view.load().endpoints);
         let append = {
+            let cut_known_at = gateway.links().cut_known_at();
+            let now = clock::now();
+            let is_cut = cut_known_at.is_some_and(|at| now.since(at) >= MIN_CUT_TIME);
             let mut leadership = gateway.leadership();
             leadership.set_limits(limits);
-            leadership.due_append(clock::now())
+            leadership.set_standing_aside(is_cut);
+            leadership.due_append(now)
         };
         if let Some(append) = append {
+            if append.claims && !may_claim(&gateway).await {
+                let mut leadership = gateway.leadership();
+                leadership.on_append_outcome(clock::now(), LeadershipAppendOutcome::Refused);
+                continue;
+            }
             if append.releases {
                 progress::save_before_release(&gateway).await;
             }
