Report no crashes for runs lost with the own links

What callers saw, in a test: after a request had been in progress at six endpoints when the links of one daemon were reset, daemons whose links were never cut answered 503 quarantined to it.

Cause: an instance reported each lost run as a possible crash, and took a refused connection for the proof of one, without asking whether its own links worked. Class: what an observer reports of others without having checked itself.

Change: before reports are sent, something must have come from an endpoint since the loss, or the own links are checked: a direct connection to another endpoint shows that they work, one that only others make that they don't. In the second case the losses are discarded. A refused connection counts as a crash after the same check; while cut off, only if other instances that reach other endpoints can't connect either.

--- a/wisteriaford_core/src/gateway/suspects.rs
+++ b/wisteriaford_core/src/gateway/suspects.rs
@@ -251,6 +251,16 @@
         }
     }
 
+    /// Discards the lost runs that began before a time, and those of their reports that were neither
+    /// confirmed nor sent: this instance lost its own links.
+    pub fn discard_lost(&mut self, began_before: Timestamp) {
+        for runs in self.lost_runs.values_mut() {
+            runs.retain(|run| run.began_at >= began_before);
+        }
+        self.lost_runs.retain(|_, runs| !runs.is_empty());
+        self.quarantine.discard_unsent(began_before);
+    }
+
     /// Records that an endpoint crashed, which confirms the reports of the runs lost there; returns
     /// `None` if the crash was known already.
     pub fn record_crash(
--- a/wisteriaford_core/src/quarantine.rs
+++ b/wisteriaford_core/src/quarantine.rs
@@ -187,6 +187,17 @@
         self.insert(run.fingerprint, crash, report);
     }
 
+    /// Discards own reports of runs that began before a time, if they were neither confirmed nor sent.
+    pub fn discard_unsent(&mut self, began_before: Timestamp) {
+        for reports in self.suspects.values_mut() {
+            reports.retain(|_, report| {
+                let is_unsent = report.rounds_left > 0 && !report.cleared;
+                !is_unsent || !report.unconfirmed || report.began_at >= began_before
+            });
+        }
+        self.suspects.retain(|_, reports| !reports.is_empty());
+    }
+
     /// Merges a crash report from another instance.
     pub fn merge(&mut self, now: Timestamp, suspect: &Suspect) {
         let seen_at = now - Duration::from_millis(suspect.age_ms);
--- a/wisteriaford_core/tests/gateway_suspects.rs
+++ b/wisteriaford_core/tests/gateway_suspects.rs
@@ -500,3 +500,29 @@
         "{delays:?}"
     );
 }
+
+/// Guards against reports of runs that an instance lost with its own links.
+#[test]
+fn runs_lost_with_the_own_links_are_neither_reported_nor_confirmed() {
+    let (mut cut, mut other) = (Suspects::default(), Suspects::default());
+    let cut_known_at = START + Duration::from_secs(1);
+    for number in 0..6 {
+        let endpoint = endpoint(&format!("e-{number}"), "a", 4);
+        cut.record_lost(&endpoint, None, broken_run(START));
+    }
+    let carried = endpoint("carried", "a", 4);
+    cut.record_lost(
+        &carried,
+        None,
+        broken_run(cut_known_at + Duration::from_secs(1)),
+    );
+
+    cut.discard_lost(cut_known_at);
+    let effect = cut.record_crash(cut_known_at, &endpoint("e-0", "a", 4), CrashSign::EntryGone);
+    share(&mut cut, &mut other, cut_known_at + Duration::from_secs(1));
+
+    assert_eq!(effect.map(|effect| effect.lost_runs), Some(0));
+    assert!(!is_refused(&mut other, cut_known_at));
+    // A run over another instance that was lost later is one the cut doesn't explain.
+    assert!(other.is_suspect(cut_known_at + Duration::from_secs(1), SUSPECT));
+}
--- a/wisteriaford_gateway/src/crash_reports.rs
+++ b/wisteriaford_gateway/src/crash_reports.rs
@@ -26,6 +26,7 @@
 use crate::adapter::Topic;
 use crate::clock;
 use crate::follow::Follower;
+use crate::reach;
 use crate::state::Gateway;
 use crate::state::stopped;
 
@@ -174,6 +175,7 @@
             () = tokio::time::sleep(APPEND_BACKOFF), if !pending.is_empty() => {}
             () = stopped(&mut stop) => return,
         }
+        verify_losses(&gateway).await;
         let reports = take_reports(&gateway);
         let unix_ms = clock::unix_ms();
         let records = reports.iter().cloned();
@@ -211,6 +213,25 @@
     }
 }
 
+/// Discards the runs that were lost with the links of this instance: nothing is reported of them.
+async fn verify_losses(gateway: &Arc<Gateway>) {
+    let lost_at_us = gateway.unverified_loss_at_us.swap(0, Ordering::AcqRel);
+    let lost_at = Timestamp(lost_at_us);
+    if lost_at == Timestamp(0) || gateway.is_heard_since(lost_at) {
+        return;
+    }
+    if reach::check(gateway, lost_at).await {
+        return;
+    }
+    let cut_known_at = gateway.links().cut_known_at();
+    let began_before = cut_known_at.unwrap_or_else(clock::now);
+    gateway.suspects().discard_lost(began_before);
+    log::info!(
+        lost_ms = clock::now().since(lost_at).as_millis(), cut = cut_known_at.is_some();
+        "lost runs not reported, the links of this instance don't work"
+    );
+}
+
 fn take_reports(gateway: &Gateway) -> Vec<Suspect> {
     let mut suspects = gateway.suspects();
     let mut reports = Vec::new();
--- a/wisteriaford_gateway/src/run.rs
+++ b/wisteriaford_gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::net::TcpStream;
@@ -17,6 +18,7 @@
 use wisteriaford_core::id::SoftwareVersion;
 use wisteriaford_core::time::Timestamp;
 
+use crate::carry::CarryError;
 use crate::clock;
 use crate::crash_reports;
 use crate::reach;
@@ -195,6 +197,10 @@
             loss,
         };
         gateway.suspects().record_lost(&self.endpoint, listed, run);
+        let lost_at_us = run.ended_at.0;
+        gateway
+            .unverified_loss_at_us
+            .store(lost_at_us, Ordering::Release);
         gateway.reports_wake.notify_one();
         log::info!(
             fingerprint:% = self.fingerprint, endpoint:% = self.endpoint.id, loss:? = loss,
@@ -254,16 +260,31 @@
 /// Finds out whether an endpoint crashed: nothing listens then at its address.
 async fn probe(gateway: Arc<Gateway>, endpoint: Endpoint) {
     tokio::time::sleep(PROBE_DELAY).await;
-    let connect = TcpStream::connect(endpoint.address);
-    let connected = tokio::time::timeout(PROBE_TIMEOUT, connect).await;
+    let is_crashed = is_port_closed(&gateway, &endpoint).await;
     gateway.end_probe(&endpoint);
-    if let Ok(Err(error)) = connected
-        && error.kind() == io::ErrorKind::ConnectionRefused
-    {
+    if is_crashed {
         record_crash(&gateway, &endpoint, CrashSign::PortClosed);
     }
 }
 
+/// Returns whether nothing listens at the address of an endpoint, as seen from an instance whose own links
+/// work.
+async fn is_port_closed(gateway: &Arc<Gateway>, endpoint: &Endpoint) -> bool {
+    let began_at = clock::now();
+    if !gateway.links().is_cut() {
+        let connect = TcpStream::connect(endpoint.address);
+        let connected = tokio::time::timeout(PROBE_TIMEOUT, connect).await;
+        let is_refused = connected.is_ok_and(|connected| {
+            connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+        });
+        if !is_refused || reach::check(gateway, began_at).await {
+            return is_refused;
+        }
+    }
+    let connected = reach::connect_over_others(gateway, endpoint).await;
+    matches!(connected, Err(CarryError::Unreached { .. }))
+}
+
 /// Records that an endpoint crashed.
 pub(crate) fn record_crash(gateway: &Gateway, endpoint: &Endpoint, sign: CrashSign) {
     let effect = gateway
