Let a timeout of unacknowledged data allow for lost keep-alive probes

Where `TCP_USER_TIMEOUT` is set, it also decides when keep-alive probes give up, whatever their number. Ours was 3 s beside probes after 5 s of silence, one a second: a connection to a sound but silent endpoint was closed once a single probe was lost. Found by reading; that a lossy link did so is not shown by a run, as a lost packet can't be produced on one machine without privileges.

Probes begin after 2 s now, and the timeout allows for three (5 s); an assertion at compile time, which fails for the old values, keeps the two together. The internal server sets the same options on what it accepts: a peer that loses power would hold carried connections for good. No library sets the option (searched in the sources of all dependencies); the daemon of the own interface sets neither.

--- a/wisteriaford_gateway/src/connection_pool.rs
+++ b/wisteriaford_gateway/src/connection_pool.rs
@@ -31,10 +31,21 @@
 /// Timeout for establishing a connection, a hundred times the round trip between availability
 /// zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time that sent data may stay unacknowledged before the kernel closes the connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time before TCP keep-alive probes are sent.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+/// Time between TCP keep-alive probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of unanswered probes after which the kernel closes the connection.
+const KEEPALIVE_PROBES: u32 = 3;
+/// Time that sent data may stay unacknowledged before the kernel closes the connection.
+///
+/// It also decides when probes give up, whatever their number (see tcp(7), `TCP_USER_TIMEOUT`): a shorter
+/// one would close a sound connection to a silent peer once a single probe is lost.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+const _: () = assert!(
+    UNACKNOWLEDGED_TIMEOUT.as_secs()
+        >= KEEPALIVE_IDLE.as_secs() + KEEPALIVE_INTERVAL.as_secs() * KEEPALIVE_PROBES as u64
+);
 /// Idle timeout of connections whose peer announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Part of the peer's idle timeout that is left unused, so that no request races with the close.
@@ -101,14 +112,15 @@
     Ok(stream)
 }
 
-fn configure(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets the options of a connection to or from a peer, which may end without notice.
+pub(crate) fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
-        .with_interval(Duration::from_secs(1))
-        .with_retries(3);
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)
 }
 
--- a/wisteriaford_gateway/src/server.rs
+++ b/wisteriaford_gateway/src/server.rs
@@ -22,6 +22,7 @@
 
 use crate::adapter::CallerTarget;
 use crate::caller_jobs;
+use crate::connection_pool;
 use crate::forward;
 use crate::refusal::Answer;
 use crate::refusal::Reason;
@@ -274,6 +275,8 @@
 {
     let never = std::future::pending();
     wisteriaford_http::accept(listener, None, never, |stream, _| {
+        // A failure only delays when a dead peer is noticed.
+        drop(connection_pool::configure(&stream));
         let answer = answer.clone();
         let service = service_fn(move |request| {
             let answer = answer(request);
