Finish carried requests before an instance stops

What callers saw, in a test: a stream that can't be resumed broke off when the instance that carried its connection was stopped as planned.

Cause: the stop waits for the requests of callers, of which a carried connection is none. `a_stream_outlasts_the_stop_of_its_carrier` failed before and passes.

--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -278,6 +278,7 @@
     let is_serving = || {
         gateway.requests_in_progress.load(Ordering::Acquire) > 0
             || gateway.open_connections.load(Ordering::Acquire) > 0
+            || gateway.carried_connections.load(Ordering::Acquire) > 0
     };
     while clock::now() < grace_end && is_serving() {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
--- a/wisteriaford_gateway/src/carrier.rs
+++ b/wisteriaford_gateway/src/carrier.rs
@@ -18,6 +18,7 @@
 use crate::refusal::Answer;
 use crate::refusal::empty_answer;
 use crate::state::Gateway;
+use crate::state::stopped;
 use crate::tunnel;
 
 /// Path of a request to carry a connection.
@@ -66,10 +67,11 @@
                 .carriers()
                 .record_partner(began_at, &host.as_str().into());
             let upgrade = hyper::upgrade::on(&mut request);
+            let mut stop = gateway.stop.clone();
             tokio::spawn(async move {
                 let _guard = guard;
                 if let Ok(upgraded) = upgrade.await {
-                    tunnel::carry(upgraded, stream).await;
+                    tunnel::carry(upgraded, stream, stopped(&mut stop)).await;
                 }
             });
             (StatusCode::SWITCHING_PROTOCOLS, None)
