--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -70,6 +70,8 @@
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(60);
 /// Delay before an idempotent call is hedged while the usual latency of the pool is unknown.
 const DEFAULT_HEDGE_DELAY: Duration = Duration::from_millis(250);
+/// Time without an answer after which the links of the instance are checked, unless an endpoint is heard.
+const CHECK_DELAY: Duration = Duration::from_millis(150);
 /// `Retry-After` of calls that did not run, about the duration of a few calls.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Part of a call's timeout that is reserved for returning the answer.
@@ -249,6 +251,9 @@
 ) -> Result<(Endpoint, Answered), Reason> {
     let idempotent = call.route.is_idempotent();
     let mut attempts = FuturesUnordered::new();
+    let mut started_at = call.arrived_at;
+    let mut may_hedge = idempotent;
+    let mut may_check = idempotent;
     loop {
         if attempts.is_empty() {
             let permit = admit(gateway, call, state).await?;
@@ -261,10 +266,13 @@
             } else {
                 SendKind::Retry
             };
+            started_at = clock::now();
             attempts.push(attempt(gateway, call, endpoint, kind, permit));
         }
-        let hedge = hedge_delay(gateway, call);
-        let may_hedge = idempotent && attempts.len() == 1 && !is_suspect(gateway, call);
+        let until = |time: Timestamp| tokio::time::sleep(time.since(clock::now()));
+        let hedge = until(started_at + hedge_delay(gateway, call));
+        let check = until(call.arrived_at + CHECK_DELAY);
+        let is_alone = attempts.len() == 1 && !is_suspect(gateway, call);
         tokio::select! {
             ended = attempts.next() => {
                 let Some((endpoint, outcome)) = ended else { continue };
@@ -272,19 +280,19 @@
                     return Ok((endpoint, answered));
                 }
             }
-            () = tokio::time::sleep(hedge), if may_hedge => {
+            () = hedge, if may_hedge && is_alone => {
                 if let Some(endpoint) = hedge_endpoint(gateway, call, state) {
                     gateway.metrics.hedges.add(1, &[]);
+                    started_at = clock::now();
                     let permit = RunPermit::admitted(gateway, call.fingerprint, false);
                     attempts.push(attempt(gateway, call, endpoint, SendKind::Hedge, permit));
-                    continue;
+                } else {
+                    may_hedge = false;
                 }
+            }
+            () = check, if may_check => {
+                may_check = false;
                 reach::check_after_silence(gateway, call.arrived_at);
-                if let Some((endpoint, outcome)) = attempts.next().await
-                    && let Some(answered) = final_answer(call, state, &endpoint, outcome)?
-                {
-                    return Ok((endpoint, answered));
-                }
             }
         }
     }
