Show that endless bodies of a server keep a configuration out

Seen: the daemon that forwards those calls sends requests to the old service more than 2 s after the acknowledgement.

--- a/review/support/tests/cases.rs
+++ b/review/support/tests/cases.rs
@@ -1,5 +1,6 @@
 //! The cases, one module each.
 
+mod endless_bodies;
 mod extra_order_answers;
 mod hand_over_gap;
 mod lost_engine;
@@ -14,6 +15,7 @@
 /// Runs a case; `has_trouble` tells whether with its disruption.
 pub fn run(case: &str, fleet: &mut Fleet, has_trouble: bool) -> io::Result<Verdict> {
     match case {
+        "endless-bodies" => endless_bodies::run(fleet, has_trouble),
         "extra-order-answers" => extra_order_answers::run(fleet, has_trouble),
         "hand-over-gap" => hand_over_gap::run(fleet, has_trouble),
         "lost-engine" => lost_engine::run(fleet, has_trouble),
--- a/review/support/tests/engine.rs
+++ b/review/support/tests/engine.rs
@@ -51,8 +51,8 @@
     pub extra_order_answers: AtomicU64,
     /// One answer in so many has one wrong byte, in the line that names the number of an event; 0 for none.
     pub spoil_every: AtomicU64,
-    /// Answers to calls go on without end, slowly.
-    pub endless_bodies: AtomicBool,
+    /// One call in so many gets a body without end; 0 for none.
+    pub endless_every: AtomicU64,
 }
 
 /// Order that an engine received.
@@ -100,6 +100,8 @@
     runs: Vec<RunRecord>,
     answers: u64,
     streams: u64,
+    calls: u64,
+    endless: u64,
     spoiled: u64,
     extra: u64,
 }
@@ -465,7 +467,7 @@
         thread::sleep(self.settings.event_time);
         let stamp = format!("stamp.{id}");
         let headers = [("x-request-id", &*id), ("x-response-stamp", &*stamp)];
-        let result = if self.faults.endless_bodies.load(Ordering::SeqCst) {
+        let result = if self.is_endless() {
             self.send_endlessly(connection, &headers)
         } else {
             let body = format!("{} answers {id}", self.settings.service);
@@ -475,6 +477,21 @@
         result
     }
 
+    fn is_endless(&self) -> bool {
+        let every = self.faults.endless_every.load(Ordering::SeqCst);
+        let mut state = self.state();
+        state.calls += 1;
+        let is_endless = every > 0 && state.calls % every == 0;
+        state.endless += u64::from(is_endless);
+        is_endless
+    }
+
+    /// Returns the number of calls, and of those with a body without end.
+    pub fn call_counts(&self) -> (u64, u64) {
+        let state = self.state();
+        (state.calls, state.endless)
+    }
+
     /// Sends a body without end, until the caller closes.
     fn send_endlessly(
         &self,
--- a/review/support/tests/fleet.rs
+++ b/review/support/tests/fleet.rs
@@ -416,13 +416,13 @@
 }
 
 /// Returns a route of calls.
-pub fn call_route(name: &str, prefix: &str, kind: &str, service: &str) -> Json {
+pub fn call_route(name: &str, prefix: &str, kind: &str, service: &str, timeout_ms: u64) -> Json {
     object(&[
         ("name", text(name)),
         ("host", text(HOST)),
         ("pathPrefix", text(prefix)),
         ("kind", text(kind)),
-        ("timeoutMs", number(2_000)),
+        ("timeoutMs", number(timeout_ms)),
         ("targetLatencyMs", number(150)),
         ("priority", number(2)),
         ("service", text(service)),
--- a/review/support/tests/http.rs
+++ b/review/support/tests/http.rs
@@ -253,7 +253,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
     pub status: u16,
-    pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
 }
 
@@ -292,7 +291,6 @@
     };
     Ok(Answer {
         status: status.unwrap_or(0),
-        headers,
         body,
     })
 }
