Keep case 5 of the review inside the stricter limit, and check more in case 1

review/5: one answer in 50 has no end, as the site file sets x 0.02 beside share 0.35; one in 35 was too many. More calls, so that two such answers come. review/1: others of the step must be listed.

--- a/review/support/tests/cases/endless_bodies.rs
+++ b/review/support/tests/cases/endless_bodies.rs
@@ -20,10 +20,10 @@
 /// Routes that the configuration has grown by.
 const MORE_ROUTES: usize = 350;
 /// Calls that one daemon gets before the configuration changes.
-const CALLS: usize = 420;
+const CALLS: usize = 640;
 const CALL_INTERVAL: Duration = Duration::from_millis(15);
 /// One answer of the faulty server in so many has a body without end.
-const ENDLESS_EVERY: u64 = 35;
+const ENDLESS_EVERY: u64 = 50;
 const PROBES: usize = 12;
 
 pub fn run(fleet: &mut Fleet, has_trouble: bool) -> io::Result<Verdict> {
--- a/review/support/tests/cases/lost_engine.rs
+++ b/review/support/tests/cases/lost_engine.rs
@@ -142,7 +142,7 @@
     ));
     Ok(if is_listed {
         Verdict::Held
-    } else if longest_idle >= IDLE_SPAN && most_running < 30 {
+    } else if longest_idle >= IDLE_SPAN && most_running < 30 && !results.is_empty() {
         Verdict::Broken
     } else {
         Verdict::CannotRun
