End an item's run at a version of the weights that can't be read

What callers saw: results without the version that made their first events, or under the version before a change, where an engine named it with a wrong byte.

A version in the head of an answer became none, one before an event the version before, and an unreadable Server-Limit ended the limit.

Ruled out: ending the run at every unknown line, as newer engines may send new fields; a line within two bytes of the field's name counts as malformed.

Change: gateway::version_label decides which version events have; a run ends where it is malformed, decreases, or was never announced. An unreadable limit leaves the one before.

--- a/wisteriaford_core/src/gateway.rs
+++ b/wisteriaford_core/src/gateway.rs
@@ -36,4 +36,5 @@
 pub mod stream_origins;
 pub mod suspects;
 pub mod usage;
+pub mod version_label;
 pub mod weights;
--- a/wisteriaford_gateway/src/adapter.rs
+++ b/wisteriaford_gateway/src/adapter.rs
@@ -25,6 +25,7 @@
 use wisteriaford_core::gateway::route::RouteTable;
 use wisteriaford_core::gateway::schedule::RunStart;
 use wisteriaford_core::gateway::schedule::ScoreStart;
+use wisteriaford_core::gateway::version_label::VersionLabel;
 use wisteriaford_core::gateway::weights::EngineReport;
 use wisteriaford_core::gateway::weights::OrderOutcome;
 use wisteriaford_core::id::EndpointId;
@@ -385,6 +386,8 @@
     pub leaving: bool,
     /// Requests per second that the endpoint takes from all instances together, if it limits them.
     pub request_limit: Option<RequestRate>,
+    /// Whether a limit is named that can't be read.
+    pub is_limit_unreadable: bool,
     /// Signature of the endpoint, which proves that it processed the request.
     pub signature: Option<CompactString>,
 }
@@ -448,8 +451,9 @@
     /// Returns whether the status means that an item can never succeed.
     fn is_permanent_failure(&self, status: StatusCode) -> bool;
 
-    /// Decodes an event line that announces the version of the weights for the following events.
-    fn decode_version_line(&self, line: &str) -> Option<Version>;
+    /// Decodes an event line that may name the version of the weights for the following events. A line that
+    /// differs from one by a few wrong bytes is malformed.
+    fn decode_version_line(&self, line: &str) -> VersionLabel;
 
     /// Returns the request that reads the state of an engine.
     fn inspection_request(&self, endpoint: &EndpointId) -> EndpointRequest;
--- a/wisteriaford_gateway/src/item_stream.rs
+++ b/wisteriaford_gateway/src/item_stream.rs
@@ -12,6 +12,9 @@
 use wisteriaford_core::gateway::schedule::EventEffect;
 use wisteriaford_core::gateway::schedule::RunOutcome;
 use wisteriaford_core::gateway::schedule::RunStart;
+use wisteriaford_core::gateway::version_label;
+use wisteriaford_core::gateway::version_label::LabelError;
+use wisteriaford_core::gateway::version_label::VersionLabel;
 use wisteriaford_core::id::Version;
 
 use crate::adapter::AnswerMetadata;
@@ -72,10 +75,13 @@
         .endpoints
         .decode_answer(answer.response.status(), answer.response.headers());
     gateway.record_answer(endpoint, sent_at, &metadata);
-    if let Err(failure) = check_head(gateway, start, &answer, &metadata) {
-        run.dismiss();
-        return Err(failure);
-    }
+    let version = match check_head(gateway, start, &answer, &metadata) {
+        Ok(version) => version,
+        Err(failure) => {
+            run.dismiss();
+            return Err(failure);
+        }
+    };
     if !answer.response.status().is_success() {
         let refusal = refusal(gateway, answer.response.status(), metadata.not_run);
         if refusal.0 == RunOutcome::Broken {
@@ -84,20 +90,43 @@
         answer.discard_body().await;
         return Err(refusal);
     }
-    read_events(gateway, start, run, answer, metadata.version).await
+    read_events(gateway, start, run, answer, version).await
 }
 
+/// Returns the version of the events that follow a label; it may be unknown for items without a model.
+fn checked_version(
+    gateway: &Gateway,
+    start: &RunStart,
+    before: Option<Version>,
+    label: VersionLabel,
+) -> Result<Option<Version>, LabelError> {
+    let Some(model) = &start.job.model else {
+        return Ok(label.valid().or(before));
+    };
+    let newest = gateway.view.load().weights.get(model).copied();
+    version_label::check(before, label, newest).map(Some)
+}
+
+/// Checks the head of an answer, and returns the version of the weights that it names.
 fn check_head(
     gateway: &Gateway,
     start: &RunStart,
     answer: &IncomingAnswer,
     metadata: &AnswerMetadata,
-) -> Result<(), RunFailure> {
+) -> Result<Option<Version>, RunFailure> {
     let expected = start.item.id.as_str();
     answer_match::check(expected, metadata.identity(), false)
         .map_err(|mismatch| failure(RunOutcome::Broken, mismatch))?;
-    let (Some(version), true) = (metadata.version, answer.response.status().is_success()) else {
-        return Ok(());
+    if !answer.response.status().is_success() {
+        return Ok(None);
+    }
+    let label = metadata
+        .version
+        .map_or(VersionLabel::Missing, VersionLabel::Valid);
+    let named = checked_version(gateway, start, None, label);
+    let named = named.map_err(|error| failure(RunOutcome::Broken, error))?;
+    let Some(version) = named else {
+        return Ok(None);
     };
     if let Some(model) = &start.job.model {
         gateway
@@ -111,7 +140,7 @@
             format_args!("the engine has version {version}"),
         ));
     }
-    Ok(())
+    Ok(named)
 }
 
 fn refusal(gateway: &Gateway, status: StatusCode, not_run: bool) -> RunFailure {
@@ -193,9 +222,16 @@
                 failure(RunOutcome::Broken, error)
             })?;
             let Some(event) = event else { break };
-            let mut named = event.other_lines.iter();
-            let named = named.find_map(|line| gateway.endpoints.decode_version_line(line));
-            version = named.or(version);
+            let mut labels = event
+                .other_lines
+                .iter()
+                .map(|line| gateway.endpoints.decode_version_line(line));
+            let label = labels.find(|label| *label != VersionLabel::Missing);
+            let checked = checked_version(gateway, start, version, label.unwrap_or_default());
+            version = checked.map_err(|error| {
+                run.dismiss();
+                failure(RunOutcome::Broken, error)
+            })?;
             if !event.is_progress() {
                 continue;
             }
--- a/wisteriaford_gateway/src/sends.rs
+++ b/wisteriaford_gateway/src/sends.rs
@@ -67,8 +67,9 @@
     ) {
         self.record_departure(endpoint, answer);
         // Answers without a signature may come from another program at the address, and reports
-        // need not announce a limit.
-        if answer.request_limit.is_none() && answer.signature.is_none() {
+        // need not announce a limit. An unreadable limit says nothing about the one before.
+        let is_unsigned = answer.request_limit.is_none() && answer.signature.is_none();
+        if is_unsigned || answer.is_limit_unreadable {
             return;
         }
         let now = clock::now();
--- a/wisteriaford_standins/src/faults.rs
+++ b/wisteriaford_standins/src/faults.rs
@@ -31,6 +31,8 @@
     pub stall_streams: u64,
     /// Number of upcoming streams that are those of another request.
     pub foreign_streams: u64,
+    /// Number of upcoming versions of the weights that are named with a wrong byte, in heads and in lines.
+    pub garble_versions: u64,
     /// Number of upcoming weight loads that fail.
     pub fail_swaps: u64,
     /// Text for which an endpoint reports a failure if a request body contains it; empty for none.
@@ -81,6 +83,9 @@
     /// See [`FaultSettings::foreign_streams`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub foreign_streams: Option<u64>,
+    /// See [`FaultSettings::garble_versions`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub garble_versions: Option<u64>,
     /// See [`FaultSettings::fail_swaps`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub fail_swaps: Option<u64>,
@@ -125,6 +130,7 @@
         set_if_some(&mut settings.extra_answers, self.extra_answers);
         set_if_some(&mut settings.stall_streams, self.stall_streams);
         set_if_some(&mut settings.foreign_streams, self.foreign_streams);
+        set_if_some(&mut settings.garble_versions, self.garble_versions);
         set_if_some(&mut settings.fail_swaps, self.fail_swaps);
         set_if_some(&mut settings.failure_marker, self.failure_marker);
         set_if_some(&mut settings.crash_marker, self.crash_marker);
@@ -253,6 +259,10 @@
         consume(&mut self.lock().settings.foreign_streams)
     }
 
+    pub(crate) fn consume_garbled_version(&self) -> bool {
+        consume(&mut self.lock().settings.garble_versions)
+    }
+
     pub(crate) fn consume_failed_swap(&self) -> bool {
         consume(&mut self.lock().settings.fail_swaps)
     }
--- a/wisteriaford_standins/src/platform_endpoint.rs
+++ b/wisteriaford_standins/src/platform_endpoint.rs
@@ -246,6 +246,16 @@
         format!("{}.{:03}", milli / 1_000, milli % 1_000)
     }
 
+    /// Returns a version as it is sent.
+    fn version_text(&self, version: u64) -> String {
+        let wrong = if self.faults.consume_garbled_version() {
+            "X"
+        } else {
+            ""
+        };
+        format!("{version}{wrong}")
+    }
+
     /// Returns all requests that arrived, and the time of the endpoint's clock.
     fn arrivals(&self) -> Reply {
         let arrivals = &self.state().arrivals;
@@ -342,7 +352,7 @@
         let is_foreign = self.faults.consume_foreign_stream();
         let id = if is_foreign { "foreign" } else { id };
         let mut version = self.state().version;
-        let (signature, version_text) = (signature(id), version.to_string());
+        let (signature, version_text) = (signature(id), self.version_text(version));
         let limit = self.limit_text();
         let headers = vec![
             ("X-Request-Id", id),
@@ -370,7 +380,7 @@
             let change = if std::mem::replace(&mut version, current) == current {
                 String::new()
             } else {
-                format!("x-weight-versions: {current}\n")
+                format!("x-weight-versions: {}\n", self.version_text(current))
             };
             let software = &self.settings.software;
             let event = format!("{change}id: {number}\ndata: {id}-{number}{software}{padding}\n\n");
