Divide the memory of large bodies among endpoints

What callers saw: large answers of a sound endpoint ended as 502 while a faulty one sent a large part of many bodies and then nothing.

Answers of one endpoint also waited for each other, each with a part of its memory.

Ruled out: a fixed share for each endpoint, which would be smaller than the largest body; ending the largest body, which may be a sound one.

Change: the bodies of an endpoint hold at most as much as they leave free, a body of known length gets its memory at once, and one that holds none waits for as long as its call lasts. Calls of duties have a bound of their own.

--- a/wisteriaford_core/src/gateway/body_budget.rs
+++ b/wisteriaford_core/src/gateway/body_budget.rs
@@ -1,5 +1,9 @@
 //! Memory for large answers of endpoints, which may be endless.
 
+use indexmap::IndexMap;
+
+use crate::id::EndpointId;
+
 /// Size from which a body gives way to others once no memory is left, in bytes.
 const LARGE_SHARE_BYTES: usize = 256 * 1024;
 
@@ -16,9 +20,14 @@
 
 /// Memory that all bodies share, each by the bytes that it has received: a slow endless body holds
 /// little, and keeps no other from being read.
+///
+/// All bodies of an endpoint together hold at most as much as they leave free. Some memory is therefore
+/// always left for other endpoints, however many bodies a faulty one never ends.
 #[derive(Clone, Debug)]
 pub struct BodyBudget {
     free_bytes: usize,
+    /// Bytes held by the bodies of each endpoint.
+    held_bytes: IndexMap<EndpointId, usize>,
 }
 
 impl BodyBudget {
@@ -27,13 +36,23 @@
     pub fn new(total_bytes: usize) -> Self {
         Self {
             free_bytes: total_bytes,
+            held_bytes: IndexMap::new(),
         }
     }
 
-    /// Reserves memory for a body that holds `held_bytes` so far.
-    pub fn reserve(&mut self, held_bytes: usize, bytes: usize) -> Reservation {
-        if let Some(free_bytes) = self.free_bytes.checked_sub(bytes) {
+    /// Reserves memory for a body of an endpoint that holds `held_bytes` so far.
+    pub fn reserve(
+        &mut self,
+        endpoint: &EndpointId,
+        held_bytes: usize,
+        bytes: usize,
+    ) -> Reservation {
+        let of_endpoint = self.held_bytes.get(endpoint).copied().unwrap_or_default();
+        let of_endpoint = of_endpoint.saturating_add(bytes);
+        let free_bytes = self.free_bytes.checked_sub(bytes);
+        if let Some(free_bytes) = free_bytes.filter(|free_bytes| of_endpoint <= *free_bytes) {
             self.free_bytes = free_bytes;
+            self.held_bytes.insert(endpoint.clone(), of_endpoint);
             return Reservation::Granted;
         }
         if held_bytes >= LARGE_SHARE_BYTES {
@@ -43,8 +62,14 @@
         }
     }
 
-    /// Releases memory that was reserved.
-    pub fn release(&mut self, bytes: usize) {
+    /// Releases memory that was reserved for a body of an endpoint.
+    pub fn release(&mut self, endpoint: &EndpointId, bytes: usize) {
         self.free_bytes += bytes;
+        if let Some(held_bytes) = self.held_bytes.get_mut(endpoint) {
+            *held_bytes = held_bytes.saturating_sub(bytes);
+            if *held_bytes == 0 {
+                self.held_bytes.swap_remove(endpoint);
+            }
+        }
     }
 }
--- a/wisteriaford_gateway/src/client.rs
+++ b/wisteriaford_gateway/src/client.rs
@@ -17,6 +17,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use wisteriaford_core::gateway::links::Way;
 use wisteriaford_core::time::Timestamp;
@@ -165,7 +166,12 @@
     }
 
     async fn read_at_most(mut self, max_bytes: usize) -> Result<CompleteAnswer, CallError> {
-        let mut memory = self.large_bodies.begin();
+        let length_bytes = self.response.body().size_hint().exact();
+        let length_bytes = length_bytes.and_then(|bytes| usize::try_from(bytes).ok());
+        if length_bytes.is_some_and(|bytes| bytes > max_bytes) {
+            return Err(CallError::lost("the body is too large"));
+        }
+        let mut memory = self.large_bodies.begin(&self.peer, length_bytes);
         let mut body = BodyBuffer::default();
         while let Some(frame) = self.response.body_mut().frame().await {
             let data = frame.map_err(CallError::lost)?.into_data();
@@ -226,8 +232,8 @@
 }
 
 impl Client {
-    /// Returns a client for the log, or for other instances, with the same connections: endless bodies of
-    /// endpoints don't keep it from reading large answers.
+    /// Returns a client for the log, for other instances or for the platform's calls, with the same
+    /// connections: endless bodies of endpoints don't keep it from reading large answers.
     #[must_use]
     pub fn for_peers(&self) -> Self {
         Self {
--- a/wisteriaford_gateway/src/large_bodies.rs
+++ b/wisteriaford_gateway/src/large_bodies.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Semaphore;
 use wisteriaford_core::gateway::body_budget::BodyBudget;
 use wisteriaford_core::gateway::body_budget::Reservation;
+use wisteriaford_core::id::EndpointId;
 
 use crate::client::CallError;
 use crate::state::lock;
@@ -19,7 +20,7 @@
 const ENDPOINT_BYTES: usize = 4 * 1024 * 1024;
 /// Number of larger bodies of the log, or of other instances, that are read at the same time.
 const MAX_WHOLE_BODIES: usize = 2;
-/// Time for which a body of an endpoint waits for memory.
+/// Time for which a body of an endpoint that holds memory waits for more.
 const MAX_WAIT: Duration = Duration::from_millis(250);
 
 /// Bound on the bodies of one kind of server.
@@ -51,10 +52,12 @@
         Self::ByCount(Arc::new(Semaphore::new(MAX_WHOLE_BODIES)))
     }
 
-    /// Returns the memory of a body of which nothing was received yet.
-    pub(crate) fn begin(&self) -> BodyMemory {
+    /// Returns the memory of a server's body of which nothing was received yet, and whose length may be known.
+    pub(crate) fn begin(&self, server: &str, length_bytes: Option<usize>) -> BodyMemory {
         BodyMemory {
             bodies: self.clone(),
+            server: server.into(),
+            length_bytes,
             held_bytes: 0,
             permit: None,
         }
@@ -64,6 +67,8 @@
 /// Memory of a body that is being read; dropping it releases it.
 pub(crate) struct BodyMemory {
     bodies: LargeBodies,
+    server: EndpointId,
+    length_bytes: Option<usize>,
     held_bytes: usize,
     permit: Option<OwnedSemaphorePermit>,
 }
@@ -71,7 +76,7 @@
 impl BodyMemory {
     /// Waits until the body may have a size.
     pub(crate) async fn grow_to(&mut self, size_bytes: usize) -> Result<(), CallError> {
-        if size_bytes <= SMALL_BODY_BYTES {
+        if size_bytes <= SMALL_BODY_BYTES.max(self.held_bytes) {
             return Ok(());
         }
         match &self.bodies {
@@ -83,10 +88,18 @@
                 Ok(())
             }
             LargeBodies::ByBytes(shared) => {
+                // A body of known length that may begin can be read to its end.
+                let size_bytes = size_bytes.max(self.length_bytes.unwrap_or_default());
                 let more_bytes = size_bytes - self.held_bytes;
-                let reserved = shared.reserve(self.held_bytes, more_bytes);
-                let reserved = tokio::time::timeout(MAX_WAIT, reserved).await;
-                if !matches!(reserved, Ok(true)) {
+                let reserved = shared.reserve(&self.server, self.held_bytes, more_bytes);
+                // One that holds nothing keeps no other from being read; its call's deadline ends the wait.
+                let is_reserved = if self.held_bytes == 0 {
+                    reserved.await
+                } else {
+                    let reserved = tokio::time::timeout(MAX_WAIT, reserved).await;
+                    matches!(reserved, Ok(true))
+                };
+                if !is_reserved {
                     return Err(CallError::lost("no memory for a large body"));
                 }
                 self.held_bytes = size_bytes;
@@ -101,7 +114,7 @@
         if let LargeBodies::ByBytes(shared) = &self.bodies
             && self.held_bytes > 0
         {
-            lock(&shared.budget).release(self.held_bytes);
+            lock(&shared.budget).release(&self.server, self.held_bytes);
             shared.released.notify_waiters();
         }
     }
@@ -109,10 +122,10 @@
 
 impl SharedBudget {
     /// Reserves memory, once there is some; returns whether there was.
-    async fn reserve(&self, held_bytes: usize, more_bytes: usize) -> bool {
+    async fn reserve(&self, endpoint: &EndpointId, held_bytes: usize, more_bytes: usize) -> bool {
         loop {
             let released = self.released.notified();
-            let reservation = lock(&self.budget).reserve(held_bytes, more_bytes);
+            let reservation = lock(&self.budget).reserve(endpoint, held_bytes, more_bytes);
             match reservation {
                 Reservation::Granted => return true,
                 Reservation::Refused => return false,
--- a/wisteriaford_standins/src/flood.rs
+++ b/wisteriaford_standins/src/flood.rs
@@ -39,6 +39,10 @@
     Comments,
     /// Bytes of a body, slowly.
     DrippingBody,
+    /// A large part of a body, then more of it slowly.
+    LargeDrippingBody,
+    /// A large part of a body, then nothing.
+    LargeSilentBody,
 }
 
 impl Flood {
@@ -46,7 +50,7 @@
         match self {
             Self::Noise | Self::InterimAnswers => "",
             Self::HeadFields | Self::HeadField => "HTTP/1.1 200 OK\r\nx-first: 1\r\n",
-            Self::Chunks | Self::DrippingBody => {
+            Self::Chunks | Self::DrippingBody | Self::LargeDrippingBody | Self::LargeSilentBody => {
                 "HTTP/1.1 200 OK\r\nx-response-stamp: flood\r\ntransfer-encoding: chunked\r\n\r\n"
             }
             Self::UnboundedBody => "HTTP/1.1 200 OK\r\nx-response-stamp: flood\r\n\r\n",
@@ -65,12 +69,26 @@
             Self::InterimAnswers => "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(500).into_bytes(),
             Self::Chunks | Self::Event => format!("{BLOCK_BYTES:x}\r\n{padding}\r\n").into_bytes(),
             Self::Comments => b"3\r\n:\n\n\r\n".to_vec(),
-            Self::DrippingBody => b"1\r\na\r\n".to_vec(),
+            Self::DrippingBody | Self::LargeDrippingBody => b"1\r\na\r\n".to_vec(),
+            Self::LargeSilentBody => Vec::new(),
         }
     }
 
+    /// Returns what comes at once after the head.
+    fn first_part(self) -> Vec<u8> {
+        let blocks = match self {
+            Self::LargeDrippingBody => 3,
+            Self::LargeSilentBody => 12,
+            _ => 0,
+        };
+        Self::Chunks.piece().repeat(blocks)
+    }
+
     const fn is_slow(self) -> bool {
-        matches!(self, Self::Comments | Self::DrippingBody)
+        matches!(
+            self,
+            Self::Comments | Self::DrippingBody | Self::LargeDrippingBody | Self::LargeSilentBody
+        )
     }
 }
 
@@ -173,6 +191,7 @@
     }
     begun.fetch_add(1, Ordering::AcqRel);
     stream.write_all(flood.head().as_bytes())?;
+    stream.write_all(&flood.first_part())?;
     let piece = flood.piece();
     while !stopping.load(Ordering::Acquire) {
         stream.write_all(&piece)?;
--- a/wisteriaford_standins/src/platform_endpoint.rs
+++ b/wisteriaford_standins/src/platform_endpoint.rs
@@ -64,6 +64,9 @@
     /// Bytes that the data of each event is extended by
     #[arg(long, default_value_t = 0)]
     pub event_padding_bytes: usize,
+    /// Bytes that the answer to each call is extended by
+    #[arg(long, default_value_t = 0)]
+    pub answer_padding_bytes: usize,
 }
 
 /// Runs of one request.
@@ -315,7 +318,8 @@
         if !connection.sleep(Duration::from_millis(self.settings.event_ms)) {
             return Ok(());
         }
-        let body = format!("answer of {}", self.settings.id);
+        let padding = "x".repeat(self.settings.answer_padding_bytes);
+        let body = format!("answer of {}{padding}", self.settings.id);
         let (signature, limit) = (signature(id), self.limit_text());
         let headers = vec![
             ("X-Request-Id", id),
