Refuse requests that a stopping instance can't finish

What callers saw: requests whose last byte came late in the grace of a planned stop were passed on and cut without an answer, unsafe ones too.

Cause: a request was sent to an endpoint at any time before the end; nothing knew how long requests take.

Ruled out: refusing all from a fixed time on, as short calls can be served until the end; judging by the deadline alone, which is far longer than most requests.

Change: gateway::call_durations keeps recent durations by route. A stopping instance sends only what usually ends in time and refuses the rest with 503 and Retry-After. A quarter of a second before the end, requests in progress get a last answer. The planned stop moves from app.rs to shutdown.rs.

--- a/wisteriaford_core/src/gateway.rs
+++ b/wisteriaford_core/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod answer_match;
 pub mod attempts;
 pub mod body_budget;
+pub mod call_durations;
 pub mod carriers;
 pub mod departures;
 pub mod duties;
--- a/wisteriaford_gateway/src/app.rs
+++ b/wisteriaford_gateway/src/app.rs
@@ -3,7 +3,6 @@
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -20,7 +19,6 @@
 use wisteriaford_core::time::Timestamp;
 
 use crate::caller_jobs;
-use crate::clock;
 use crate::crash_reports;
 use crate::crash_reports::QuarantineFollower;
 use crate::directory::EndpointFollower;
@@ -46,21 +44,13 @@
 use crate::scaling;
 use crate::server;
 use crate::settings::GatewaySettings;
+use crate::shutdown;
 pub use crate::state::Adapters;
 use crate::state::Gateway;
 use crate::stream_origins;
 use crate::supervision::restart_on_panic;
 use crate::usage;
 
-/// Time after the stop signal until the load balancer sends no new callers.
-///
-/// The load balancer probes readiness once a second and removes an instance after two failed
-/// probes.
-const LOAD_BALANCER_DELAY: Duration = Duration::from_millis(2_300);
-/// Part of the shutdown timeout that is reserved for closing the last connections.
-const SHUTDOWN_RESERVE: Duration = Duration::from_millis(700);
-/// Interval of the check whether all requests have ended.
-const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval of the check for changed settings, which may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of pruning idle connections.
@@ -123,7 +113,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    shut_down(&gateway, &stop_sender).await;
+    shutdown::shut_down(&gateway, &stop_sender).await;
     Ok(())
 }
 
@@ -286,37 +276,3 @@
         }));
     }
 }
-
-/// Reports the instance as not ready, waits for the requests in progress and stops all tasks.
-async fn shut_down(gateway: &Gateway, stop: &watch::Sender<bool>) {
-    let signalled_at = clock::now();
-    let shutdown_timeout = gateway.settings.load().shutdown_timeout;
-    log::info!(
-        grace_ms = shutdown_timeout.as_millis(),
-        requests = gateway.requests_in_progress.load(Ordering::Acquire);
-        "gateway stopping, no longer ready for new callers"
-    );
-    gateway.leaving.store(true, Ordering::Release);
-    gateway.leadership().resign();
-    tokio::time::sleep(LOAD_BALANCER_DELAY).await;
-    let grace_end = signalled_at + shutdown_timeout.saturating_sub(SHUTDOWN_RESERVE);
-    // Starts the graceful close of connections; requests in progress still get their answers.
-    stop.send_replace(true);
-    // Longer than a request on a connection that was just accepted may take to arrive.
-    tokio::time::sleep(SHUTDOWN_POLL_INTERVAL * 2).await;
-    // Heads that arrive in part belong to no request yet, but to an open connection.
-    let is_serving = || {
-        gateway.requests_in_progress.load(Ordering::Acquire) > 0
-            || gateway.open_connections.load(Ordering::Acquire) > 0
-            || gateway.carried_connections.load(Ordering::Acquire) > 0
-    };
-    while clock::now() < grace_end && is_serving() {
-        tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-    }
-    usage::append_last_counts(gateway).await;
-    log::info!(
-        took_ms = clock::now().since(signalled_at).as_millis(),
-        requests = gateway.requests_in_progress.load(Ordering::Acquire);
-        "gateway stopped"
-    );
-}
--- a/wisteriaford_gateway/src/caller_jobs.rs
+++ b/wisteriaford_gateway/src/caller_jobs.rs
@@ -40,6 +40,7 @@
 use crate::refusal::empty_answer;
 use crate::refusal::full_body;
 use crate::refusal::refuse;
+use crate::shutdown;
 use crate::state::Gateway;
 
 /// Delay before retrying an append, some tens of the store's round trips.
@@ -348,7 +349,8 @@
         let wait = if known { wait } else { propagation_timeout };
         let more = changes.wait_for(|_| has_more() || (!known && is_current(gateway, arrived)));
         // If no result is listed in time, the answer is an empty page.
-        drop(tokio::time::timeout(wait, more).await);
+        let waited = tokio::time::timeout(wait, more);
+        drop(shutdown::unless_last_answer(gateway, waited).await);
     }
     let page = match page(gateway, sender, job, position).await {
         Ok(page) => page,
--- a/wisteriaford_gateway/src/forward.rs
+++ b/wisteriaford_gateway/src/forward.rs
@@ -63,6 +63,7 @@
 use crate::run::Run;
 use crate::run::RunPermit;
 use crate::sends::SendKind;
+use crate::shutdown;
 use crate::state::Gateway;
 use crate::stream;
 use crate::stream::OpenStream;
@@ -191,21 +192,25 @@
         sent: AtomicBool::new(false),
     };
     let mut state = CallState::new(route);
-    let finished = tokio::time::timeout(time, run_attempts(gateway, &call, &mut state)).await;
-    let result = finished.unwrap_or_else(|_| {
-        let is_sent = call.sent.load(Ordering::Acquire);
-        Err(if is_sent {
-            Reason::Deadline
-        } else {
-            Reason::EndpointsUnreachable
-        })
-    });
+    let attempts = tokio::time::timeout(time, run_attempts(gateway, &call, &mut state));
+    let finished = shutdown::unless_last_answer(gateway, attempts).await;
+    let is_sent = call.sent.load(Ordering::Acquire);
+    let result = match finished {
+        Some(Ok(result)) => result,
+        Some(Err(_)) if is_sent => Err(Reason::Deadline),
+        Some(Err(_)) => Err(Reason::EndpointsUnreachable),
+        None if is_sent => Err(Reason::AnswerLost),
+        None => Err(Reason::Stopping),
+    };
     let elapsed = clock::now().since(arrived);
     gateway.metrics.record_call_time(elapsed);
     log_outcome(gateway, &call, &state, &result, elapsed);
     match result {
         Ok((_, answered)) => {
             share.record_served();
+            if matches!(answered, Answered::Complete(..)) {
+                gateway.shutdown.record_duration(&route.id, elapsed);
+            }
             deliver(gateway, &call, state.attempts, answered)
         }
         Err(reason) => {
@@ -213,7 +218,10 @@
                 share.record_refused();
             }
             gateway.metrics.record_refusal(reason);
-            let retry_after = state.retry_after.unwrap_or(RETRY_AFTER);
+            let retry_after = state.retry_after.unwrap_or(match reason {
+                Reason::Stopping => shutdown::RETRY_AFTER,
+                _ => RETRY_AFTER,
+            });
             let retry_after = (!state.may_have_run).then_some(retry_after);
             refuse(reason, retry_after)
         }
@@ -264,6 +272,9 @@
     let mut may_check = idempotent;
     loop {
         if attempts.is_empty() {
+            if !shutdown::may_begin(gateway, call.route, call.deadline) {
+                return Err(state.unsent_reason(Reason::Stopping));
+            }
             let permit = admit(gateway, call, state).await?;
             let Some(endpoint) = next_endpoint(gateway, call, state).await else {
                 return exhausted(state);
@@ -315,21 +326,13 @@
     state: &mut CallState,
 ) -> Result<RunPermit, Reason> {
     if !gateway.wait_until_current().await {
-        return Err(if state.may_have_run {
-            Reason::AnswerLost
-        } else {
-            Reason::NotCurrent
-        });
+        return Err(state.unsent_reason(Reason::NotCurrent));
     }
     let admitted = run::admit(gateway, call.fingerprint).await;
     state.alone = admitted.as_ref().is_ok_and(RunPermit::is_alone);
     admitted.map_err(|retry_after| {
         state.retry_after = Some(retry_after);
-        if state.may_have_run {
-            Reason::AnswerLost
-        } else {
-            Reason::Quarantined
-        }
+        state.unsent_reason(Reason::Quarantined)
     })
 }
 
--- a/wisteriaford_gateway/src/forward/choice.rs
+++ b/wisteriaford_gateway/src/forward/choice.rs
@@ -68,6 +68,15 @@
         }
     }
 
+    /// Returns the reason for refusing a call that is not sent again: `reason` promises that it did not run.
+    pub(super) fn unsent_reason(&self, reason: Reason) -> Reason {
+        if self.may_have_run {
+            Reason::AnswerLost
+        } else {
+            reason
+        }
+    }
+
     /// Returns whether a call that ended without an answer was refused by a contended pool.
     pub(super) fn is_contended(&self, reason: Reason) -> bool {
         match reason {
--- a/wisteriaford_gateway/src/lib.rs
+++ b/wisteriaford_gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod sends;
 mod server;
 pub mod settings;
+mod shutdown;
 mod state;
 mod stream;
 mod stream_origins;
--- a/wisteriaford_gateway/src/refusal.rs
+++ b/wisteriaford_gateway/src/refusal.rs
@@ -79,6 +79,9 @@
     /// The caller's deadline or the route's timeout passed.
     #[display("deadline")]
     Deadline,
+    /// The instance stops and can't finish the request; it did not run.
+    #[display("stopping")]
+    Stopping,
     /// The log is unavailable; nothing was stored or read.
     #[display("log_unavailable")]
     LogUnavailable,
@@ -115,6 +118,7 @@
             | Self::OverShare
             | Self::StreamOriginUnknown
             | Self::Quarantined
+            | Self::Stopping
             | Self::LogUnavailable
             | Self::NotCurrent => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
--- a/wisteriaford_gateway/src/server.rs
+++ b/wisteriaford_gateway/src/server.rs
@@ -37,6 +37,7 @@
 use crate::refusal::empty_answer;
 use crate::refusal::full_body;
 use crate::refusal::refuse;
+use crate::shutdown;
 use crate::state::Gateway;
 use crate::state::stopped;
 
@@ -208,9 +209,13 @@
     let max_body_bytes = view.routes.limits.max_body_bytes;
     let body_timeout = head.time_left.unwrap_or(DEFAULT_BODY_TIMEOUT);
     let read = wisteriaford_http::read_body(body, max_body_bytes, body_timeout, slot);
-    let body = match read.await {
-        Ok(body) => body,
-        Err(error) => {
+    let body = match shutdown::unless_last_answer(gateway, read).await {
+        Some(Ok(body)) => body,
+        None => {
+            gateway.metrics.record_refusal(Reason::Stopping);
+            return refuse(Reason::Stopping, Some(shutdown::RETRY_AFTER));
+        }
+        Some(Err(error)) => {
             let reason = Reason::from(error);
             // The budget logs what it refuses, at a limited rate.
             if reason != Reason::CallerMemory {
@@ -234,7 +239,9 @@
             sender: &sender,
             path,
         };
-        return caller_jobs::submit(gateway, &submission, body, slot).await;
+        let submitted = caller_jobs::submit(gateway, &submission, body, slot);
+        let submitted = shutdown::unless_last_answer(gateway, submitted).await;
+        return submitted.unwrap_or_else(|| refuse(Reason::LogOutcomeUnknown, None));
     }
     if sender != Sender::Unrestricted {
         gateway.callers.remove_identity(&mut parts.headers);
--- a/wisteriaford_gateway/src/state.rs
+++ b/wisteriaford_gateway/src/state.rs
@@ -62,6 +62,7 @@
 use crate::relay::RelayedLog;
 use crate::scaling::ScalingState;
 use crate::settings::GatewaySettings;
+use crate::shutdown::ShutdownState;
 use crate::stream_origins::OriginState;
 use crate::usage::UsageState;
 
@@ -173,6 +174,7 @@
     pub(crate) quarantine_read_to: AtomicU64,
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) leaving: AtomicBool,
+    pub(crate) shutdown: ShutdownState,
     pub(crate) requests_in_progress: AtomicUsize,
     /// Budget of what is held for callers.
     pub(crate) caller_guard: Arc<Guard>,
@@ -268,6 +270,7 @@
             quarantine_read_to: AtomicU64::new(0),
             stop,
             leaving: AtomicBool::new(false),
+            shutdown: ShutdownState::default(),
             requests_in_progress: AtomicUsize::new(0),
             caller_guard: Guard::new(caller_limits),
             probe_guard: Guard::new(probe_limits),
--- a/wisteriaford_gateway/src/stream.rs
+++ b/wisteriaford_gateway/src/stream.rs
@@ -88,6 +88,7 @@
     parts: http::request::Parts,
     body: Bytes,
     fingerprint: Fingerprint,
+    arrived_at: Timestamp,
     deadline: Timestamp,
     /// Organisation that the caller's key belonged to when the call was accepted.
     organisation: Option<OrganisationId>,
@@ -155,6 +156,7 @@
         parts: call.parts.clone(),
         body: call.body.clone(),
         fingerprint: call.fingerprint,
+        arrived_at: call.arrived_at,
         deadline: call.deadline,
         organisation: call.organisation.clone(),
         priority: call.priority,
@@ -189,6 +191,10 @@
         let error = match end {
             PartEnd::Complete => {
                 run.complete();
+                let duration = clock::now().since(call.arrived_at);
+                call.gateway
+                    .shutdown
+                    .record_duration(&call.route.id, duration);
                 return;
             }
             PartEnd::CallerDisconnected => {
