Close no gap in the history of versions by an old listing

What callers would see: a stream joined from two versions of the endpoints' software, at an instance that stood still while one of them came and went.

Cause: the listing in a record of the lease counts as made when it is read. An instance that stood still reads records from before the gap first, and took their knowledge for the present. Entries that the log had removed unread were no gap at all if the reads were less than 3 s apart.

Ruled out: an age in the listing, as the clocks of instances differ.

Change: removed entries count as a gap; after a gap, a listing adds versions but no longer reaches back.

Result: both new tests of gateway_software_history fail without the change. With processes the report was not reproduced: three cases of release_out_of_step pass before and after.

--- a/wisteriaford_core/src/gateway/software_history.rs
+++ b/wisteriaford_core/src/gateway/software_history.rs
@@ -37,6 +37,11 @@
     complete_at: Option<Timestamp>,
     /// Time as of which the entries were last read to their end.
     read_at: Option<Timestamp>,
+    /// Whether entries were removed from the log before this instance read them.
+    has_missed: bool,
+    /// Whether the entries were not read without a gap. Listings then don't reach back beyond it: one may
+    /// have been made before the gap, and be read only now.
+    has_gap: bool,
     /// Time at which a route last changed its pools.
     retargeted_at: Option<Timestamp>,
     /// Version of the routing table in force.
@@ -82,13 +87,21 @@
         }
     }
 
+    /// Records that entries were removed from the log before they were read: an endpoint may have come and
+    /// gone meanwhile.
+    pub fn record_missed(&mut self) {
+        self.has_missed = true;
+    }
+
     /// Records that the entries of endpoints were read to their end, as of a time.
     pub fn record_read(&mut self, as_of: Timestamp) {
+        let has_missed = std::mem::take(&mut self.has_missed);
         match self.read_at {
             // A listing may reach back further.
             None => self.extend_complete(as_of + STREAM_LIFETIME),
-            Some(read_at) if as_of.since(read_at) > MAX_READ_GAP => {
+            Some(read_at) if has_missed || as_of.since(read_at) > MAX_READ_GAP => {
                 self.complete_at = Some(as_of + STREAM_LIFETIME);
+                self.has_gap = true;
             }
             Some(_) => {}
         }
@@ -233,7 +246,7 @@
             }
         }
         let is_valid = |version: &VersionListing| version.pools.len() == version.ended_ms_ago.len();
-        if listing.versions.iter().all(is_valid) {
+        if !self.has_gap && listing.versions.iter().all(is_valid) {
             let complete = Duration::from_millis(listing.complete_ms);
             self.extend_complete(now + STREAM_LIFETIME - complete);
         }
--- a/wisteriaford_core/tests/gateway_software_history.rs
+++ b/wisteriaford_core/tests/gateway_software_history.rs
@@ -118,6 +118,40 @@
     assert_eq!(later.as_deref(), Some("v1"));
 }
 
+/// Guards against versions that came and went unseen within a short time, because the log forgot its history.
+#[test]
+fn entries_that_were_removed_unread_end_what_is_known() {
+    let one = table(&[("a", "v1")]);
+    let mut history = history(30);
+    let before = sole(&history, seconds(30), &one);
+
+    history.record_missed();
+    read(&mut history, 31, 50);
+    let after = sole(&history, seconds(50), &one);
+    read(&mut history, 51, 51);
+    let later = sole(&history, seconds(51), &one);
+
+    assert_eq!(
+        (before.as_deref(), after, later.as_deref()),
+        (Some("v1"), None, Some("v1"))
+    );
+}
+
+/// Guards against streams joined from two versions at an instance that stood still: the listing of a record made
+/// before counted as made afterwards, and as complete, although endpoints of another version had come and gone.
+#[test]
+fn a_listing_from_before_a_gap_does_not_close_it() {
+    let one = table(&[("a", "v1")]);
+    let leader = history(30);
+    let listing = leader.listing(seconds(30), &one).expect("a listing");
+    let mut history = history(30);
+
+    read(&mut history, 35, 36);
+    history.apply_listing(seconds(36), &listing);
+
+    assert_eq!(sole(&history, seconds(36), &one), None);
+}
+
 /// Guards against a version that is added and removed in one read, so that no table ever had it.
 #[test]
 fn a_version_that_no_table_had_is_known() {
--- a/wisteriaford_gateway/src/directory.rs
+++ b/wisteriaford_gateway/src/directory.rs
@@ -319,6 +319,10 @@
         self.publish(&table);
     }
 
+    fn on_truncated(&mut self) {
+        self.gateway.origins.history().record_missed();
+    }
+
     fn on_reachability(&mut self, reachable: bool) {
         if !reachable {
             return;
--- a/wisteriaford_gateway/src/follow.rs
+++ b/wisteriaford_gateway/src/follow.rs
@@ -45,6 +45,9 @@
     /// Called when all records before `end` have been applied, as of time `as_of`.
     fn on_caught_up(&mut self, end: Offset, as_of: Timestamp);
 
+    /// Called when unread records have been truncated, before a new snapshot is read.
+    fn on_truncated(&mut self) {}
+
     /// Called after each read with whether the log answered.
     fn on_reachability(&mut self, _reachable: bool) {}
 }
@@ -66,6 +69,7 @@
             topic:% = follower.topic(), error:% = truncated;
             "unread records were truncated, loading a new snapshot"
         );
+        follower.on_truncated();
     }
 }
 
