Refuse no request as too slow once it may run

What callers saw: 408, which promises that a request did not run, for one that was running: its head came in time but in parts, and its answer after the time limit on heads. To a stream, 408 was written between two events.

Cause: Activity::expire returned when the deadline that it had computed before its wait had passed; the end of the head woke nobody. The same pattern: 503 to a request whose body was completed as its connection was evicted, and a limit on the next head that cut an answer which was still being sent.

Ruled out: waking the wait at the end of the head alone, as both may be ready in the same turn.

Change: the deadline is computed again after each wait, and there is none while a request is in progress or an answer is unsent.

--- a/wisteriaford_http/src/body.rs
+++ b/wisteriaford_http/src/body.rs
@@ -10,7 +10,6 @@
 use hyper::body::Incoming;
 
 use crate::body_buffer::BodyBuffer;
-use crate::budget::Phase;
 use crate::budget::Refused;
 use crate::guard::Slot;
 
@@ -66,14 +65,9 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    if let Some(slot) = slot {
-        slot.set_phase(Phase::Body);
-    }
+    let _reading = slot.map(Slot::begin_body);
     let read = collect(body, max_bytes, declared_bytes, slot);
     let read = tokio::time::timeout(timeout, read).await;
-    if let Some(slot) = slot {
-        slot.set_phase(Phase::Running);
-    }
     read.map_err(|_| BodyError::TooSlow)?
 }
 
--- a/wisteriaford_http/src/caller_stream.rs
+++ b/wisteriaford_http/src/caller_stream.rs
@@ -45,6 +45,28 @@
     Idle,
 }
 
+/// What to do with a connection that must make way for others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Eviction {
+    /// Refuse the request: its head or its body is still arriving, so it can't have run.
+    Refuse,
+    /// Answer the request before the connection is closed: it may be running.
+    Finish,
+    /// Close the connection: it is idle, or its caller isn't reading an answer.
+    Close,
+}
+
+/// State of the answers that were passed to the connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Sending {
+    /// All of them have been sent.
+    Done,
+    /// Parts may wait to be sent.
+    Pending,
+    /// Parts were not read in time.
+    Unread,
+}
+
 #[derive(Debug)]
 struct Progress {
     /// Requests whose answers have not been passed to the connection completely.
@@ -55,13 +77,12 @@
     pipelined: u32,
     /// Whether the last request has an answer.
     has_answer: bool,
+    sending: Sending,
     /// Charge of the answer that is being sent.
     answer: Option<Charge>,
     /// Time at which the head that is arriving began.
     head_since: Option<Instant>,
     idle_since: Instant,
-    /// Whether an answer wasn't read in time.
-    is_unread: bool,
 }
 
 /// What a connection is doing, shared by its stream and its request handler.
@@ -79,10 +100,10 @@
             has_read: true,
             pipelined: 0,
             has_answer: false,
+            sending: Sending::Done,
             answer: None,
             head_since: None,
             idle_since: Instant::now(),
-            is_unread: false,
         };
         Self {
             progress: Arc::new(Mutex::new(progress)),
@@ -118,16 +139,26 @@
         }
     }
 
-    /// Returns whether a head or a body is arriving, so that nothing has been answered.
-    pub(crate) fn is_receiving(&self) -> bool {
+    /// Returns what to do if the connection must make way for others.
+    pub(crate) fn eviction(&self) -> Eviction {
         let progress = self.lock();
-        progress.head_since.is_some() || (progress.requests > 0 && !progress.has_answer)
+        let is_running = progress.requests > 0;
+        if progress.sending != Sending::Done {
+            Eviction::Close
+        } else if is_running && !self.slot.is_reading_body() {
+            Eviction::Finish
+        } else if is_running || progress.head_since.is_some() {
+            Eviction::Refuse
+        } else {
+            Eviction::Close
+        }
     }
 
     /// Records that a request has an answer, which is sent from now on; `bytes` of it are held.
     pub(crate) fn begin_answer(&self, bytes: Option<u64>) {
         let mut progress = self.lock();
         progress.has_answer = true;
+        progress.sending = Sending::Pending;
         let bytes = bytes.filter(|bytes| *bytes >= MIN_CHARGED_ANSWER_BYTES);
         let bytes = bytes.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
         progress.answer = bytes.map(|bytes| self.slot.charge_held(bytes));
@@ -136,14 +167,22 @@
     /// Records that everything passed to the connection has been sent.
     fn record_sent(&self) {
         let mut progress = self.lock();
-        if progress.requests == 0 {
-            progress.answer = None;
+        let is_answering = progress.requests > 0 && progress.has_answer;
+        if is_answering || progress.sending != Sending::Pending {
+            return;
         }
+        progress.sending = Sending::Done;
+        progress.answer = None;
+        // The next request has its time from the end of the answer before it.
+        let now = Instant::now();
+        progress.idle_since = now;
+        progress.head_since = progress.head_since.map(|_| now);
+        self.changed.notify_one();
     }
 
     /// Returns whether the connection failed because an answer wasn't read.
     pub(crate) fn is_unread(&self) -> bool {
-        self.lock().is_unread
+        self.lock().sending == Sending::Unread
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
@@ -168,20 +207,23 @@
     pub(crate) async fn expire(&self, timeouts: &ConnectionTimeouts) -> Expiry {
         loop {
             let changed = self.changed.notified();
-            let Some((deadline, expiry)) = self.deadline(timeouts) else {
-                changed.await;
-                continue;
-            };
-            tokio::select! {
-                () = changed => {}
-                () = tokio::time::sleep_until(deadline) => return expiry,
+            match self.deadline(timeouts) {
+                None => changed.await,
+                Some((deadline, expiry)) if deadline <= Instant::now() => return expiry,
+                // A request may have begun by the deadline, so it is computed again.
+                Some((deadline, _)) => tokio::select! {
+                    () = changed => {}
+                    () = tokio::time::sleep_until(deadline) => {}
+                },
             }
         }
     }
 
+    /// Returns the end of the time limit that applies now; there is none while a request is in progress or
+    /// an answer is being sent.
     fn deadline(&self, timeouts: &ConnectionTimeouts) -> Option<(Instant, Expiry)> {
         let progress = self.lock();
-        if progress.requests > 0 {
+        if progress.requests > 0 || progress.sending != Sending::Done {
             return None;
         }
         Some(match progress.head_since {
@@ -191,7 +233,7 @@
     }
 
     fn expire_write(&self) -> io::Error {
-        self.lock().is_unread = true;
+        self.lock().sending = Sending::Unread;
         io::ErrorKind::TimedOut.into()
     }
 }
--- a/wisteriaford_http/src/guard.rs
+++ b/wisteriaford_http/src/guard.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -126,6 +128,7 @@
             id,
             source,
             evicted,
+            is_reading_body: AtomicBool::new(false),
         })))
     }
 
@@ -181,6 +184,8 @@
     id: ConnectionId,
     source: IpAddr,
     evicted: Arc<Notify>,
+    /// Whether a body is arriving, so that its request can't have been passed on.
+    is_reading_body: AtomicBool,
 }
 
 impl Drop for SlotState {
@@ -201,6 +206,18 @@
         self.0.evicted.notified().await;
     }
 
+    /// Records that a body is arriving, until the returned value is dropped.
+    pub(crate) fn begin_body(&self) -> ReadingBody<'_> {
+        self.0.is_reading_body.store(true, Ordering::Release);
+        self.set_phase(Phase::Body);
+        ReadingBody(self)
+    }
+
+    /// Returns whether a body is arriving.
+    pub(crate) fn is_reading_body(&self) -> bool {
+        self.0.is_reading_body.load(Ordering::Acquire)
+    }
+
     /// Charges the buffers of a connection that has sent its first byte.
     ///
     /// # Errors
@@ -287,6 +304,16 @@
     }
 }
 
+/// Body that is arriving on a connection.
+pub(crate) struct ReadingBody<'a>(&'a Slot);
+
+impl Drop for ReadingBody<'_> {
+    fn drop(&mut self) {
+        self.0.0.is_reading_body.store(false, Ordering::Release);
+        self.0.set_phase(Phase::Running);
+    }
+}
+
 /// Memory charged to a connection, released on drop.
 #[derive(Debug)]
 pub struct Charge {
--- a/wisteriaford_http/src/serve.rs
+++ b/wisteriaford_http/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::caller_stream::Activity;
 use crate::caller_stream::CallerStream;
 use crate::caller_stream::ConnectionTimeouts;
+use crate::caller_stream::Eviction;
 use crate::caller_stream::Expiry;
 use crate::guard::Guard;
 use crate::guard::Slot;
@@ -135,7 +136,11 @@
     let end = loop {
         tokio::select! {
             ended = &mut connection => break End::Ended(ended),
-            () = slot.evicted() => break End::Evicted,
+            () = slot.evicted() => match activity.eviction() {
+                Eviction::Refuse => break End::Refused,
+                Eviction::Close => break End::Evicted,
+                Eviction::Finish => Pin::new(&mut connection).graceful_shutdown(),
+            },
             expiry = activity.expire(&limits.timeouts) => break End::Expired(expiry),
             () = &mut close, if !is_closing => {
                 is_closing = true;
@@ -144,7 +149,8 @@
         }
     };
     let answer = match end {
-        End::Evicted => activity.is_receiving().then_some(OVERLOAD_ANSWER),
+        End::Refused => Some(OVERLOAD_ANSWER),
+        End::Evicted => None,
         End::Expired(Expiry::Head) => {
             slot.record_timeout("head too slow");
             Some(HEAD_TIMEOUT_ANSWER)
@@ -160,9 +166,9 @@
         End::Ended(Ok(())) | End::Expired(Expiry::Idle) => return,
     };
     let stream = connection.into_parts().io.into_inner().into_inner();
-    if let Some(answer) = answer {
-        drop(stream.try_write(answer));
-    } else {
+    let written =
+        answer.map(|answer| matches!(stream.try_write(answer), Ok(n) if n == answer.len()));
+    if written != Some(true) {
         // What wasn't read would stay in the kernel's buffer.
         drop(SockRef::from(&stream).set_linger(Some(Duration::ZERO)));
     }
@@ -171,6 +177,9 @@
 /// How a connection ended.
 enum End {
     Ended(hyper::Result<()>),
+    /// It made way for others, and its request is refused.
+    Refused,
+    /// It made way for others without an answer.
     Evicted,
     Expired(Expiry),
 }
--- a/wisteriaford_http/tests/serve.rs
+++ b/wisteriaford_http/tests/serve.rs
@@ -1,8 +1,10 @@
 //! Time limits, eviction and refusals of callers' connections, over TCP connections.
 
 use std::convert::Infallible;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -39,11 +41,27 @@
 /// Timeout of an answer, with slack for a loaded machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time that a request to `/slow` runs for, longer than the time limit on heads.
+const SLOW_RUN: Duration = Duration::from_millis(300);
+
+/// Requests to `/slow` that ran, by their query.
+static RUNS: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+fn has_run(id: &str) -> bool {
+    RUNS.lock().expect("runs").iter().any(|run| run == id)
+}
+
 async fn answer(request: Request<Incoming>) -> Response<Full<Bytes>> {
     let slot = request.extensions().get::<Slot>().cloned();
     let is_large = request.uri().path() == "/large";
+    let slow_id = (request.uri().path() == "/slow")
+        .then(|| request.uri().query().unwrap_or_default().to_owned());
     let mut body = request.into_body();
     let read = read_body(&mut body, MAX_BODY_BYTES, ANSWER_TIMEOUT, slot.as_ref()).await;
+    if let Some(id) = slow_id.filter(|_| read.is_ok()) {
+        RUNS.lock().expect("runs").push(id);
+        tokio::time::sleep(SLOW_RUN).await;
+    }
     let content = if is_large { LARGE_ANSWER_BYTES } else { 0 };
     let mut answer = Response::new(Full::new(Bytes::from(vec![b'a'; content])));
     if read.is_err() {
@@ -173,3 +191,112 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// Guards against a 408 to a request that runs: its head arrived in parts, within the time limit.
+#[rstest]
+#[case::head("in-parts", &["POST /slow?in-parts HTTP/1.1\r\n", "host: x\r\ncontent-length: 0\r\n\r\n"])]
+#[case::head_and_body("body", &["POST /slow?body HTTP/1.1\r\n", "host: x\r\ncontent-length: 2\r\n\r\na", "b"])]
+#[case::second_request("second", &["GET / HTTP/1.1\r\nhost: x\r\n\r\n", "GET /slow?second HTTP/1.1\r\n", "host: x\r\n\r\n"])]
+#[tokio::test]
+async fn a_request_that_runs_is_not_refused(#[case] id: &str, #[case] parts: &[&str]) {
+    let (address, _) = start_server(BudgetLimits::UNLIMITED).await;
+    let mut stream = connect(address, "").await;
+
+    for part in parts {
+        stream.write_all(part.as_bytes()).await.expect("sent");
+        tokio::time::sleep(Duration::from_millis(90)).await;
+    }
+    let answers = read_to_close(&mut stream).await;
+
+    assert!(has_run(id));
+    assert!(!answers.contains("408"), "{answers}");
+    let expected = parts
+        .iter()
+        .filter(|part| part.contains(" HTTP/1.1"))
+        .count();
+    assert_eq!(
+        answers.matches("HTTP/1.1 200").count(),
+        expected,
+        "{answers}"
+    );
+}
+
+/// Guards against an answer that is cut, or mixed with a refusal, because the head of the next request is too
+/// slow: that one is refused after the whole answer.
+#[tokio::test]
+async fn an_answer_is_sent_whole_before_the_next_head_is_refused() {
+    let (address, _) = start_server(BudgetLimits::UNLIMITED).await;
+    let mut stream = connect(address, "GET /large HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    let mut received = vec![0; 64 * 1024];
+    stream.read_exact(&mut received).await.expect("a part");
+    stream.write_all(b"GET /next HTTP").await.expect("sent");
+
+    let mut part = vec![0; 256 * 1024];
+    let read = async {
+        loop {
+            match stream.read(&mut part).await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => received.extend_from_slice(&part[..count]),
+            }
+            tokio::time::sleep(Duration::from_millis(8)).await;
+        }
+    };
+    let closed = tokio::time::timeout(ANSWER_TIMEOUT, read).await;
+
+    assert!(closed.is_ok(), "not closed");
+    let body_start = received.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    let body_start = body_start.expect("a head") + 4;
+    let body_end = (body_start + LARGE_ANSWER_BYTES).min(received.len());
+    let (body, rest) = received[body_start..].split_at(body_end - body_start);
+    assert_eq!(body.len(), LARGE_ANSWER_BYTES);
+    assert!(body.iter().all(|byte| *byte == b'a'));
+    assert!(rest.starts_with(b"HTTP/1.1 408"), "{} bytes", rest.len());
+}
+
+/// Guards against a 503 to a request that runs: its body was completed at the moment at which its connection was
+/// to make way for another one.
+#[tokio::test]
+async fn a_request_whose_body_is_completed_at_its_eviction_is_not_refused() {
+    // The order in which the server notices both is random.
+    const ROUNDS: usize = 20;
+    let limits = BudgetLimits {
+        total_bytes: 200_000,
+        eviction_grace: Duration::from_millis(30),
+        ..BudgetLimits::UNLIMITED
+    };
+    let mut outcomes = Vec::new();
+    for round in 0..ROUNDS {
+        let (address, guard) = start_server(limits).await;
+        let id = format!("evicted-{round}");
+        let head = format!("POST /slow?{id} HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nx");
+        let stalled = connect(address, &head).await;
+        let other = connect(address, "POST / HTTP/1.1\r\n").await;
+        tokio::time::sleep(Duration::from_millis(60)).await;
+
+        // Written without a turn of the server in between.
+        let (mut stalled, mut other) = (
+            stalled.into_std().expect("a socket"),
+            other.into_std().expect("a socket"),
+        );
+        let rest = "host: x\r\ncontent-length: 100000\r\n\r\n";
+        other.write_all(rest.as_bytes()).expect("sent");
+        stalled.write_all(b"x").expect("sent");
+        let mut stalled = TcpStream::from_std(stalled).expect("a socket");
+        let mut status = [0; 12];
+        let read = tokio::time::timeout(ANSWER_TIMEOUT, stalled.read_exact(&mut status)).await;
+        drop(read.expect("answered or closed in time"));
+
+        assert_eq!(guard.counts().evicted, 1);
+        outcomes.push((has_run(&id), String::from_utf8_lossy(&status).into_owned()));
+    }
+
+    let is_true = |(has_run, status): &(bool, String)| {
+        let expected = if *has_run {
+            "HTTP/1.1 200"
+        } else {
+            "HTTP/1.1 503"
+        };
+        status == expected
+    };
+    assert!(outcomes.iter().all(is_true), "{outcomes:?}");
+}
